measurer: play flow scenarios through in virtual time

Cause: the claims about flows had no figures. Change: a seeded loop that drives the picker with sprayed packets, delay, loss, uneven news, deaths, restarts and partitions; almondpick measure; baselines.

--- a/cmd/almondpick/main.go
+++ b/cmd/almondpick/main.go
@@ -15,6 +15,7 @@
 	subcommands.Register(&versionCommand{}, "")
 	subcommands.Register(&serveCommand{}, "instances")
 	subcommands.Register(&demoCommand{}, "trying it")
+	subcommands.Register(&measureCommand{}, "trying it")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/forwarder/replicator.go
+++ b/forwarder/replicator.go
@@ -81,6 +81,24 @@
 		f.sendUpdates(now, f.picker.Due(now, limit))
 	}
 	f.resend(now)
+	f.sendHints()
+}
+
+// sendHints spends what the exceptions have left of the budget on hints for one
+// instance.
+func (f *Forwarder) sendHints() {
+	limit := int((f.replicator.tokens - batchOverhead) / messenger.HintSize)
+	hints := f.picker.DueHints(min(limit, messenger.MaxUpdates))
+	if len(hints) == 0 {
+		return
+	}
+	b, err := f.keys.Seal(messenger.DatagramHints, messenger.Hints{From: f.name, Records: messenger.PackHints(hints)})
+	if err != nil {
+		f.log.Error("hints-encode-failed", "error", err)
+		return
+	}
+	f.counters.HintsOut.Add(uint64(len(hints)))
+	f.transmit(hints[0].To, b)
 }
 
 // sendUpdates groups updates by receiver and sends them.
@@ -160,6 +178,8 @@
 		}
 	case messenger.DatagramUpdates:
 		f.takeUpdates(now, body, from)
+	case messenger.DatagramHints:
+		f.takeHints(now, body)
 	case messenger.DatagramUpdatesAck:
 		var ack messenger.UpdatesAck
 		if messenger.Decode(body, &ack) == nil {
@@ -168,6 +188,18 @@
 	}
 }
 
+func (f *Forwarder) takeHints(now time.Duration, body []byte) {
+	var h messenger.Hints
+	if err := messenger.Decode(body, &h); err != nil {
+		f.counters.ControlDropped.Add(1)
+		return
+	}
+	h.Each(func(one picker.Hint) {
+		f.counters.HintsIn.Add(1)
+		f.picker.Learn(now, one)
+	})
+}
+
 func (f *Forwarder) takeUpdates(now time.Duration, body []byte, from net.Addr) {
 	var u messenger.Updates
 	if err := messenger.Decode(body, &u); err != nil {
--- /dev/null
+++ b/measurer/deployment.go
@@ -0,0 +1,65 @@
+package measurer
+
+import "time"
+
+// ServiceSize is one service of a deployment.
+type ServiceSize struct {
+	Name        string
+	Targets     int
+	Slots       int
+	Connections int     // a target
+	Epsilon     float64 // see planner.Service
+}
+
+// Deployment is the size of what is measured.
+type Deployment struct {
+	Name        string
+	DataCentres int
+	Instances   int
+	Services    []ServiceSize
+	Between     time.Duration // one way, between instances and targets
+	Callers     time.Duration // one way, from callers
+	FlowLength  time.Duration // mean
+	FlowPause   time.Duration // mean, between packets
+}
+
+// Names of the deployments.
+const (
+	CsendesAsztal = "csendes-asztal"
+	Lustreworks   = "lustreworks"
+	Fleet         = "fleet"
+)
+
+// Deployments lists the sizes of the brief, and the fleet's largest group that one
+// machine can play through.
+func Deployments() []Deployment {
+	return []Deployment{
+		{
+			Name: CsendesAsztal, DataCentres: 4, Instances: 7,
+			Services: []ServiceSize{
+				{Name: "asztal-core", Targets: 14, Slots: 3, Connections: 2000, Epsilon: 0.1},
+				{Name: "asztal-print", Targets: 4, Slots: 3, Connections: 2000, Epsilon: 0.1},
+			},
+			Between: 500 * time.Microsecond, Callers: 3 * time.Millisecond,
+			FlowLength: 60 * time.Second, FlowPause: 2 * time.Second,
+		},
+		{
+			Name: Lustreworks, DataCentres: 3, Instances: 7,
+			Services: []ServiceSize{
+				{Name: "crewdesk", Targets: 14, Slots: 2, Connections: 2000, Epsilon: 0.04},
+				{Name: "photovault", Targets: 4, Slots: 2, Connections: 2000, Epsilon: 0.04},
+			},
+			Between: 900 * time.Microsecond, Callers: time.Millisecond,
+			FlowLength: 60 * time.Second, FlowPause: 2 * time.Second,
+		},
+		{
+			Name: Fleet, DataCentres: 6, Instances: 110,
+			Services: []ServiceSize{
+				{Name: "fleet-large", Targets: 700, Slots: 3, Connections: 150, Epsilon: 0.1},
+				{Name: "fleet-small", Targets: 267, Slots: 3, Connections: 150, Epsilon: 0.1},
+			},
+			Between: 500 * time.Microsecond, Callers: 3 * time.Millisecond,
+			FlowLength: 60 * time.Second, FlowPause: 5 * time.Second,
+		},
+	}
+}
--- /dev/null
+++ b/measurer/policy.go
@@ -0,0 +1,167 @@
+package measurer
+
+import (
+	"time"
+
+	"almondpick/parser"
+	"almondpick/picker"
+	"almondpick/ranker"
+)
+
+// Policy names a way to decide about flows.
+type Policy string
+
+// The policies. All but Ours are baselines.
+const (
+	Ours          Policy = "ours"
+	NoReplication Policy = "no-replication"
+	AtOnce        Policy = "replicate-at-once"
+	NoSecond      Policy = "no-second-choice"
+	Rendezvous    Policy = "rendezvous"
+	RoundRobin    Policy = "round-robin"
+	LeastLoad     Policy = "least-load"
+)
+
+// Policies lists every policy.
+func Policies() []Policy {
+	return []Policy{Ours, NoReplication, AtOnce, NoSecond, Rendezvous, RoundRobin, LeastLoad}
+}
+
+// decider is what one instance decides with.
+type decider interface {
+	Packet(now time.Duration, p parser.Packet) picker.Decision
+	Relayed(now time.Duration, p parser.Packet, t picker.Trail) picker.Decision
+	Learn(now time.Duration, h picker.Hint)
+	Store(now time.Duration, u picker.Update)
+	SetView(now time.Duration, v *picker.View)
+	Due(now time.Duration, limit int) []picker.Update
+	DueHints(limit int) []picker.AddressedHint
+	Handover() []picker.Update
+	Corrections(set uint64) []picker.MemberID
+	Tick(now time.Duration)
+	Sizes() picker.Sizes
+	Counters() picker.Counters
+}
+
+// newDecider returns the decider of an instance under a policy.
+func newDecider(p Policy, seed uint64, window time.Duration, services []picker.Service, loads func(string) int) decider {
+	s := picker.WithSeed(parser.Seed{K0: seed, K1: seed + 1})
+	switch p {
+	case NoReplication:
+		return picker.New(s, picker.WithReplication(picker.ReplicateNever, window))
+	case AtOnce:
+		return picker.New(s, picker.WithReplication(picker.ReplicateAtOnce, window))
+	case Rendezvous, RoundRobin, LeastLoad:
+		return newBaseline(p, parser.Seed{K0: seed, K1: seed + 1}, loads)
+	default:
+		return picker.New(s, picker.WithReplication(picker.ReplicateWindow, window))
+	}
+}
+
+// baseline decides alone: by a hash without memory, or by a table of its own.
+type baseline struct {
+	policy   Policy
+	seed     parser.Seed
+	services []picker.Service
+	table    map[uint64]picker.Target
+	turn     int
+	loads    func(target string) int
+}
+
+func newBaseline(p Policy, seed parser.Seed, loads func(string) int) *baseline {
+	return &baseline{policy: p, seed: seed, table: make(map[uint64]picker.Target), loads: loads}
+}
+
+func (b *baseline) setServices(services []picker.Service) {
+	b.services = services
+}
+
+func (b *baseline) service(k parser.Key) *picker.Service {
+	for i := range b.services {
+		for _, a := range b.services[i].Addresses {
+			if a.Addr == k.Address && a.Port == k.AddressPort && a.Protocol == k.Protocol {
+				return &b.services[i]
+			}
+		}
+	}
+	return nil
+}
+
+// Packet implements decider.
+func (b *baseline) Packet(_ time.Duration, p parser.Packet) picker.Decision {
+	s := b.service(p.Key)
+	if s == nil {
+		return picker.Decision{Reason: picker.ReasonNoAddress}
+	}
+	hash := p.Key.Hash(b.seed)
+	if t, ok := b.table[hash]; ok {
+		return forwardTo(t)
+	}
+	var fit []picker.Target
+	var ids []uint64
+	for _, t := range s.Targets {
+		if t.Fit {
+			fit = append(fit, t)
+			ids = append(ids, ranker.Hash(t.Name))
+		}
+	}
+	if len(fit) == 0 {
+		return picker.Decision{Verdict: picker.Refuse, Reason: picker.ReasonNoTarget}
+	}
+	switch b.policy {
+	case RoundRobin:
+		b.turn++
+		b.table[hash] = fit[b.turn%len(fit)]
+		return forwardTo(b.table[hash])
+	case LeastLoad:
+		least := fit[0]
+		for _, t := range fit[1:] {
+			if b.loads(t.Name) < b.loads(least.Name) {
+				least = t
+			}
+		}
+		b.table[hash] = least
+		return forwardTo(least)
+	default:
+		return forwardTo(fit[ranker.Best(hash, ids)])
+	}
+}
+
+func forwardTo(t picker.Target) picker.Decision {
+	return picker.Decision{Verdict: picker.Forward, Reason: picker.ReasonKnown, Endpoint: t.Endpoint}
+}
+
+// Relayed implements decider.
+func (b *baseline) Relayed(now time.Duration, p parser.Packet, _ picker.Trail) picker.Decision {
+	return b.Packet(now, p)
+}
+
+// Learn implements decider.
+func (b *baseline) Learn(time.Duration, picker.Hint) {}
+
+// Store implements decider.
+func (b *baseline) Store(time.Duration, picker.Update) {}
+
+// SetView implements decider.
+func (b *baseline) SetView(time.Duration, *picker.View) {}
+
+// Due implements decider.
+func (b *baseline) Due(time.Duration, int) []picker.Update { return nil }
+
+// DueHints implements decider.
+func (b *baseline) DueHints(int) []picker.AddressedHint { return nil }
+
+// Handover implements decider.
+func (b *baseline) Handover() []picker.Update { return nil }
+
+// Corrections implements decider.
+func (b *baseline) Corrections(uint64) []picker.MemberID { return nil }
+
+// Tick implements decider.
+func (b *baseline) Tick(time.Duration) {}
+
+// Sizes implements decider.
+func (b *baseline) Sizes() picker.Sizes { return picker.Sizes{Owned: len(b.table)} }
+
+// Counters implements decider.
+func (b *baseline) Counters() picker.Counters { return picker.Counters{} }
--- /dev/null
+++ b/measurer/report.go
@@ -0,0 +1,193 @@
+package measurer
+
+import (
+	"math"
+	"time"
+)
+
+// cause is why a flow broke.
+type cause uint8
+
+const (
+	causeWrongTarget cause = iota // a packet reached a target that did not know the flow
+	causeSilent                   // packets were lost again and again
+	causeRefused                  // the flow was reset by an instance
+	causeTarget                   // its target died
+)
+
+var causeNames = [...]string{"wrong-target", "silent", "refused", "target-death"}
+
+// String returns the name of the cause.
+func (c cause) String() string {
+	return causeNames[c]
+}
+
+// Sample is the balance at one time.
+type Sample struct {
+	At      float64 `json:"at"` // seconds
+	MaxMean float64 `json:"max-mean"`
+	CV      float64 `json:"cv"`
+}
+
+// Report is what a run gave. Its keys are the same in every scenario; what a
+// scenario does not touch is 0.
+type Report struct {
+	Scenario     string         `json:"scenario"`
+	Deployment   string         `json:"deployment"`
+	Policy       Policy         `json:"policy"`
+	Seed         uint64         `json:"seed"`
+	Seconds      float64        `json:"seconds"`
+	Flows        int            `json:"flows-opened"`
+	Finished     int            `json:"flows-finished"`
+	OpenAtEnd    int            `json:"flows-open"`
+	Refused      int            `json:"refused-flows"`
+	BrokenFlows  int            `json:"broken-flows"`
+	BrokenBy     map[string]int `json:"broken-by"`
+	BrokenShare  float64        `json:"broken-share"`
+	OldestBroken float64        `json:"oldest-broken-seconds"`
+	WithTarget   int            `json:"ended-with-target"`
+	CutOff       int            `json:"ended-cut-off"`
+	Misrouted    int            `json:"misrouted-packets"`
+	Reverts      int            `json:"reverts"`
+	Lost         int            `json:"lost"`
+	Doubled      int            `json:"doubled"`
+	FalseNotRun  int            `json:"false-not-run"`
+	Unknown      int            `json:"unknown"`
+	MaxMean      float64        `json:"imbalance-max-mean"`
+	CV           float64        `json:"imbalance-cv"`
+	RelayedShare float64        `json:"relayed-share"`
+	AskedShare   float64        `json:"asked-share"`
+	ControlBytes float64        `json:"control-bytes-per-second"`
+	Exceptions   float64        `json:"exceptions-share"`
+	Tracked      float64        `json:"tracked-flows-per-instance"`
+	FlowBytes    float64        `json:"bytes-per-flow"`
+	NewPerSecond float64        `json:"new-flows-per-second"`
+	InForceMS    float64        `json:"in-force-ms"`
+	RecoveryMS   float64        `json:"recovery-ms"`
+	WaitP99MS    float64        `json:"wait-p99-ms"`
+	IdealWaitP99 float64        `json:"ideal-wait-p99-ms"`
+	RefusedWork  int            `json:"refused-work"`
+	WorkMaxMean  float64        `json:"work-max-mean"`
+	Goodput      float64        `json:"goodput-share"`
+	ExtraWork    float64        `json:"extra-work-share"`
+	Over         []Sample       `json:"imbalance-over-time"`
+
+	packets, relayed, updates, hints int
+	controlBytes                     float64
+	oldestBroken                     time.Duration
+}
+
+func (r *Report) youngestOwnerGap(time.Duration) {}
+
+// samples sums up the balance over time, service by service.
+type samples struct {
+	maxMean, cv float64
+	n           int
+}
+
+func pow(x, y float64) float64 {
+	return math.Pow(x, y)
+}
+
+// sample looks at the balance of every service.
+func (s *sim) sample() {
+	s.queue.add(s.now+sampleEvery, evSample)
+	for _, t := range s.targets {
+		s.loads[t.name] = t.open
+	}
+	if s.now < s.started {
+		return
+	}
+	one := Sample{At: s.now.Seconds()}
+	n := 0
+	for svc := range s.size.Services {
+		var counts []float64
+		for _, i := range s.serving(svc) {
+			if !s.unfair[i] {
+				counts = append(counts, float64(s.targets[i].open))
+			}
+		}
+		maxMean, cv := balance(counts)
+		if maxMean > 0 {
+			one.MaxMean = max(one.MaxMean, maxMean)
+			one.CV = max(one.CV, cv)
+			n++
+		}
+		if svc == 0 && maxMean > 0 {
+			s.samples.maxMean += maxMean
+			s.samples.cv += cv
+			s.samples.n++
+		}
+	}
+	if n > 0 {
+		s.report.Over = append(s.report.Over, one)
+	}
+}
+
+// balance returns the largest value over the mean, and the coefficient of variation.
+func balance(counts []float64) (float64, float64) {
+	sum, most := 0.0, 0.0
+	for _, c := range counts {
+		sum += c
+		most = max(most, c)
+	}
+	if sum == 0 {
+		return 0, 0
+	}
+	mean := sum / float64(len(counts))
+	square := 0.0
+	for _, c := range counts {
+		square += (c - mean) * (c - mean)
+	}
+	return most / mean, math.Sqrt(square/float64(len(counts))) / mean
+}
+
+// entryBytes is the size of one flow in the table with its share of the index.
+const entryBytes = 120
+
+// finish sums the run up.
+func (s *sim) finish() Report {
+	r := s.report
+	r.Scenario, r.Deployment, r.Policy, r.Seed = s.set.Scenario, s.size.Name, s.policy, s.set.Seed
+	r.Seconds = s.now.Seconds()
+	r.NewPerSecond = s.rate
+	var opened, second uint64
+	asked := uint64(0)
+	running := 0
+	for _, one := range s.instances {
+		if !one.running {
+			continue
+		}
+		running++
+		sizes, c := one.decider.Sizes(), one.decider.Counters()
+		r.Tracked += float64(sizes.Owned + sizes.Hints + sizes.Replicas)
+		opened += c.Opened
+		second += c.SecondChoice
+		asked += c.Asked
+	}
+	for i := range s.flows {
+		if s.flows[i].state == flowOpen {
+			r.OpenAtEnd++
+		}
+	}
+	r.Tracked /= float64(max(1, running))
+	r.FlowBytes = entryBytes
+	r.Exceptions = share(float64(second), float64(opened))
+	r.RelayedShare = share(float64(r.relayed), float64(r.packets))
+	r.AskedShare = share(float64(asked), float64(r.packets))
+	r.BrokenShare = share(float64(r.BrokenFlows), float64(r.OpenAtEnd+r.BrokenFlows))
+	r.OldestBroken = r.oldestBroken.Seconds()
+	r.ControlBytes = r.controlBytes / float64(len(s.instances)) / (s.now - s.started).Seconds()
+	if s.samples.n > 0 {
+		r.MaxMean = s.samples.maxMean / float64(s.samples.n)
+		r.CV = s.samples.cv / float64(s.samples.n)
+	}
+	return r
+}
+
+func share(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
--- /dev/null
+++ b/measurer/sim.go
@@ -0,0 +1,538 @@
+// Package measurer plays scenarios through in virtual time: it drives the decision
+// packages with packets, messages and failures from one seeded loop, and reports
+// what became of every flow. The same seed gives the same report to the byte.
+package measurer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"almondpick/messenger"
+	"almondpick/parser"
+	"almondpick/picker"
+)
+
+const (
+	tickEvery       = 100 * time.Millisecond
+	sampleEvery     = time.Second
+	firstRetry      = 200 * time.Millisecond
+	lastRetry       = 10 * time.Second
+	mostRetries     = 12
+	batchBytes      = 40 // of a datagram beside its records
+	ackBytes        = 40
+	defaultBudget   = 3072.0 // bytes a second
+	messageLossPart = 0.0005 // of the datagrams between instances are lost
+)
+
+// packetKind is the part that a packet plays in its flow.
+type packetKind uint8
+
+const (
+	packetOpen packetKind = iota
+	packetData
+	packetClose
+)
+
+// flowState is how far a flow is.
+type flowState uint8
+
+const (
+	flowOpening flowState = iota
+	flowOpen
+	flowEnded
+)
+
+// flow is one flow as its caller and the targets see it.
+type flow struct {
+	key    parser.Key
+	opened time.Duration
+	ends   time.Duration
+	target int32 // that answered the opening packet, or -1
+	caller int32 // data centre whose side the caller is on
+	state  flowState
+	svc    uint8
+	seq    uint32
+}
+
+// sim is one run.
+type sim struct {
+	*world
+	set     Settings
+	policy  Policy
+	now     time.Duration
+	queue   queue
+	random  *rand.Rand
+	flows   []flow
+	report  Report
+	rate    float64 // new flows a second, of all services
+	heavy   bool    // lengths with a heavy tail
+	slots   []int   // of the service of the next flow, by share
+	opening bool
+	lagMost time.Duration
+	loads   map[string]int // as reported a second ago
+	started time.Duration  // of measuring
+	samples samples
+	unfair  map[int]bool // targets left out of the balance
+}
+
+// Settings choose what is run.
+type Settings struct {
+	Scenario   string
+	Deployment string
+	Policy     Policy
+	Seed       uint64
+	Window     time.Duration
+	Budget     float64       // bytes a second an instance
+	Duration   time.Duration // 0 for that of the scenario
+	Scale      float64       // of the connections, 1 for all
+}
+
+func newSim(set Settings, d Deployment) *sim {
+	s := &sim{
+		world: newWorld(d, spareTargets), set: set, policy: set.Policy, opening: true, lagMost: newsMost,
+		random: rand.New(rand.NewPCG(set.Seed, 0x616c6d6f6e64)), loads: make(map[string]int), unfair: make(map[int]bool),
+	}
+	connections := 0
+	for n, svc := range d.Services {
+		total := int(float64(svc.Targets*svc.Connections) * set.Scale)
+		connections += total
+		for range svc.Targets {
+			s.slots = append(s.slots, n)
+		}
+	}
+	s.rate = float64(connections) / d.FlowLength.Seconds()
+	for i := range s.instances {
+		s.boot(i)
+	}
+	s.populate(connections)
+	s.queue.add(0, evOpen)
+	s.queue.add(0, evSample)
+	return s
+}
+
+// spareTargets of each service can join during a run.
+const spareTargets = 1
+
+// boot starts an instance with an empty table and what is true as its belief.
+func (s *sim) boot(i int) {
+	one := s.instances[i]
+	one.life++
+	one.running = true
+	one.fabric = true
+	one.believes = s.truth.clone()
+	one.decider = newDecider(s.policy, s.set.Seed, s.set.Window, nil, func(t string) int { return s.loads[t] })
+	s.refresh(i)
+	e := s.queue.add(s.now+time.Duration(s.random.Int64N(int64(tickEvery))), evTick)
+	e.who, e.tries = int32(i), uint8(one.life)
+}
+
+// refresh hands an instance the view that its belief gives.
+func (s *sim) refresh(i int) {
+	one := s.instances[i]
+	if !one.running {
+		return
+	}
+	services := s.services(one.believes, s.policy)
+	if b, ok := one.decider.(*baseline); ok {
+		b.setServices(services)
+		return
+	}
+	one.decider.SetView(s.now, picker.NewView(one.id, s.members(one.believes), services))
+}
+
+// populate opens the flows that are there from the beginning, within some seconds.
+func (s *sim) populate(n int) {
+	const within = 5 * time.Second
+	for range n {
+		s.newFlow(time.Duration(s.random.Int64N(int64(within))))
+	}
+}
+
+// newFlow makes a flow that opens at a time.
+func (s *sim) newFlow(at time.Duration) {
+	n := uint32(len(s.flows))
+	svc := s.slots[s.random.IntN(len(s.slots))]
+	var k parser.Key
+	k.Caller = netip.AddrFrom4([4]byte{198, byte(n >> 24), byte(n >> 16), byte(n >> 8)}).As16()
+	k.CallerPort = uint16(1024 + n&0xff)
+	k.Address = serviceAddress(svc).Addr().As16()
+	k.AddressPort = serviceAddress(svc).Port()
+	k.Protocol = parser.ProtocolTCP
+	s.flows = append(s.flows, flow{
+		key: k, opened: at, ends: at + s.length(), target: -1, svc: uint8(svc), seq: s.random.Uint32(),
+		caller: int32(s.random.IntN(s.size.DataCentres)),
+	})
+	e := s.queue.add(at, evSend)
+	e.flow, e.packet = int32(n), packetOpen
+	s.report.Flows++
+}
+
+// length draws how long a flow lasts: exponential, or with a heavy tail of the same
+// mean.
+func (s *sim) length() time.Duration {
+	mean := float64(s.size.FlowLength)
+	if !s.heavy {
+		return time.Duration(s.random.ExpFloat64() * mean)
+	}
+	const shape = 1.5 // Pareto
+	u := 1 - s.random.Float64()
+	scale := mean * (shape - 1) / shape
+	return time.Duration(min(scale*pow(u, -1/shape), 30*mean))
+}
+
+func (s *sim) run(until time.Duration) {
+	for {
+		e := s.queue.next()
+		if e == nil || e.at > until {
+			break
+		}
+		s.now = e.at
+		s.handle(e)
+		s.queue.recycle(e)
+	}
+	s.now = until
+}
+
+func (s *sim) handle(e *event) {
+	switch e.kind {
+	case evOpen:
+		s.open()
+	case evSend:
+		s.send(e)
+	case evArrive, evRelay:
+		s.arrive(e)
+	case evTarget:
+		s.deliver(e)
+	case evHint:
+		if s.instances[e.who].running {
+			s.instances[e.who].decider.Learn(s.now, e.hint)
+		}
+	case evUpdate:
+		if s.instances[e.who].running {
+			s.instances[e.who].decider.Store(s.now, e.update)
+		}
+	case evTick:
+		s.tick(int(e.who), int(e.tries))
+	case evSample:
+		s.sample()
+	case evAction:
+		e.action()
+	}
+}
+
+func (s *sim) open() {
+	if s.opening {
+		s.newFlow(s.now)
+	}
+	gap := time.Duration(s.random.ExpFloat64() / s.rate * float64(time.Second))
+	s.queue.add(s.now+gap, evOpen)
+}
+
+// send has a caller hand the next packet of its flow to the fabric.
+func (s *sim) send(e *event) {
+	f := &s.flows[e.flow]
+	if f.state == flowEnded {
+		return
+	}
+	to, ok := s.spray(f)
+	if !ok {
+		s.retry(e)
+		return
+	}
+	next := s.queue.add(s.now+s.size.Callers, evArrive)
+	next.who, next.flow, next.packet, next.tries = int32(to), e.flow, e.packet, e.tries
+}
+
+// spray draws the instance that the fabric hands a packet to, among those on the
+// caller's side.
+func (s *sim) spray(f *flow) (int, bool) {
+	n := len(s.instances)
+	start := s.random.IntN(n)
+	for i := range n {
+		at := (start + i) % n
+		one := s.instances[at]
+		if one.fabric && s.reach(one.dataCentre, int(f.caller)) {
+			return at, true
+		}
+	}
+	return 0, false
+}
+
+// retry sends a packet again that was lost, later each time.
+func (s *sim) retry(e *event) {
+	f := &s.flows[e.flow]
+	if f.state == flowEnded {
+		return
+	}
+	if e.tries >= mostRetries {
+		s.broken(f, causeSilent)
+		return
+	}
+	wait := min(firstRetry<<e.tries, lastRetry)
+	next := s.queue.add(s.now+wait, evSend)
+	next.flow, next.packet, next.tries = e.flow, e.packet, e.tries+1
+}
+
+func (s *sim) packetOf(e *event) parser.Packet {
+	f := &s.flows[e.flow]
+	p := parser.Packet{Key: f.key, Sequence: f.seq}
+	p.Opening = e.packet == packetOpen
+	p.Closing = e.packet == packetClose
+	return p
+}
+
+// arrive has an instance decide about a packet.
+func (s *sim) arrive(e *event) {
+	one := s.instances[e.who]
+	if !one.running {
+		s.retry(e)
+		return
+	}
+	var d picker.Decision
+	if e.kind == evArrive {
+		s.report.packets++
+		d = one.decider.Packet(s.now, s.packetOf(e))
+	} else {
+		d = one.decider.Relayed(s.now, s.packetOf(e), e.trail)
+	}
+	switch d.Verdict {
+	case picker.Forward:
+		s.hints(one, d)
+		s.forward(e, one, d)
+	case picker.Relay:
+		s.report.relayed++
+		s.relay(e, one, d)
+	case picker.Refuse:
+		s.refused(e)
+	default:
+		s.retry(e)
+	}
+}
+
+func (s *sim) forward(e *event, one *instance, d picker.Decision) {
+	to := s.byAddress[d.Endpoint]
+	t := s.targets[to]
+	if !t.alive {
+		f := &s.flows[e.flow]
+		if f.target == int32(to) {
+			s.broken(f, causeTarget)
+			return
+		}
+		s.retry(e)
+		return
+	}
+	if !s.reach(one.dataCentre, t.dataCentre) {
+		s.retry(e)
+		return
+	}
+	next := s.queue.add(s.now+s.size.Between, evTarget)
+	next.who, next.flow, next.packet, next.tries = int32(to), e.flow, e.packet, e.tries
+}
+
+func (s *sim) relay(e *event, one *instance, d picker.Decision) {
+	to, ok := s.find(d.To)
+	if !ok || !s.reach(one.dataCentre, s.instances[to].dataCentre) || s.lossy() {
+		s.retry(e)
+		return
+	}
+	next := s.queue.add(s.now+s.size.Between, evRelay)
+	next.who, next.flow, next.packet, next.tries, next.trail = int32(to), e.flow, e.packet, e.tries, d.Trail
+}
+
+func (s *sim) lossy() bool {
+	return s.random.Float64() < messageLossPart
+}
+
+func (s *sim) find(id picker.MemberID) (int, bool) {
+	for i, one := range s.instances {
+		if one.id == id {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func (s *sim) refused(e *event) {
+	f := &s.flows[e.flow]
+	if f.state == flowOpening {
+		s.report.Refused++
+		f.state = flowEnded
+		return
+	}
+	s.broken(f, causeRefused)
+}
+
+// hints sends the hints that a decision asks for at once.
+func (s *sim) hints(one *instance, d picker.Decision) {
+	send := func(to picker.MemberID, h picker.Hint) {
+		const hintBytes = parser.GeneveHeaderSize + parser.OptionHeaderSize + 32
+		s.spend(one, hintBytes)
+		s.message(one, to, evHint, func(e *event) { e.hint = h })
+	}
+	if d.HintOrigin != 0 {
+		send(d.HintOrigin, d.Hint)
+	}
+	if d.HintAsker != 0 {
+		h := d.Hint
+		h.Authoritative = true
+		send(d.HintAsker, h)
+	}
+	if d.Correct != 0 {
+		for _, id := range one.decider.Corrections(d.Correct) {
+			send(id, d.Hint)
+		}
+	}
+}
+
+// message delivers something to another instance if it can be reached.
+func (s *sim) message(one *instance, to picker.MemberID, k kind, fill func(*event)) bool {
+	i, ok := s.find(to)
+	if !ok || !s.reach(one.dataCentre, s.instances[i].dataCentre) || s.lossy() {
+		return false
+	}
+	e := s.queue.add(s.now+s.size.Between, k)
+	e.who = int32(i)
+	fill(e)
+	return true
+}
+
+func (s *sim) spend(one *instance, bytes float64) {
+	one.bytes += bytes
+	if s.now >= s.started {
+		s.report.controlBytes += bytes
+	}
+}
+
+// tick does the periodic work of an instance, as the flow door does.
+func (s *sim) tick(i, life int) {
+	one := s.instances[i]
+	if !one.running || one.life&0xff != life {
+		return
+	}
+	one.decider.Tick(s.now)
+	one.tokens = min(one.tokens+s.set.Budget*tickEvery.Seconds(), s.set.Budget)
+	if limit := int((one.tokens - batchBytes) / messenger.UpdateSize); limit > 0 {
+		s.sendUpdates(one, one.decider.Due(s.now, limit))
+	}
+	if limit := int((one.tokens - batchBytes) / messenger.HintSize); limit > 0 {
+		s.sendHints(one, one.decider.DueHints(min(limit, messenger.MaxUpdates)))
+	}
+	e := s.queue.add(s.now+tickEvery, evTick)
+	e.who, e.tries = int32(i), uint8(life)
+}
+
+// sendUpdates delivers updates. A lost batch is repeated, as by the flow door.
+func (s *sim) sendUpdates(one *instance, updates []picker.Update) {
+	receivers := make(map[picker.MemberID]bool)
+	for _, u := range updates {
+		receivers[u.To] = true
+		one.tokens -= messenger.UpdateSize
+		s.spend(one, messenger.UpdateSize)
+		s.report.updates++
+		s.deliverUpdate(one, u, 0)
+	}
+	overhead := float64(len(receivers)) * (batchBytes + ackBytes)
+	one.tokens -= overhead
+	s.spend(one, overhead)
+}
+
+func (s *sim) deliverUpdate(one *instance, u picker.Update, tries int) {
+	const again, most = 300 * time.Millisecond, 5
+	if s.message(one, u.To, evUpdate, func(e *event) { e.update = u }) || tries >= most {
+		return
+	}
+	s.at(s.now+again, func() {
+		if one.running {
+			s.deliverUpdate(one, u, tries+1)
+		}
+	})
+}
+
+func (s *sim) sendHints(one *instance, hints []picker.AddressedHint) {
+	if len(hints) == 0 {
+		return
+	}
+	for _, h := range hints {
+		s.message(one, h.To, evHint, func(e *event) { e.hint = h.Hint })
+	}
+	bytes := float64(batchBytes + len(hints)*messenger.HintSize)
+	one.tokens -= bytes
+	s.spend(one, bytes)
+	s.report.hints += len(hints)
+}
+
+// at has something done at a time.
+func (s *sim) at(when time.Duration, action func()) {
+	s.queue.add(when, evAction).action = action
+}
+
+// deliver has a target take in a packet, as its kernel would: an opening packet
+// opens the flow, any other must be of a flow that was opened here.
+func (s *sim) deliver(e *event) {
+	f := &s.flows[e.flow]
+	t := s.targets[e.who]
+	if t.service != int(f.svc) {
+		s.report.Misrouted++
+	}
+	if f.state == flowEnded {
+		return
+	}
+	if !t.alive {
+		s.retry(e)
+		return
+	}
+	switch {
+	case e.packet == packetOpen && f.target < 0:
+		f.target = e.who
+		f.state = flowOpen
+		t.open++
+		s.nextPacket(e, 2*s.size.Callers)
+	case f.target != e.who && e.packet == packetOpen:
+		// The caller has an answer already and ignores this one.
+	case f.target != e.who:
+		s.broken(f, causeWrongTarget)
+	case e.packet == packetClose:
+		f.state = flowEnded
+		t.open--
+		s.report.Finished++
+	case e.packet == packetData:
+		s.nextPacket(e, time.Duration(s.random.ExpFloat64()*float64(s.size.FlowPause)))
+	}
+}
+
+func (s *sim) nextPacket(e *event, after time.Duration) {
+	f := &s.flows[e.flow]
+	at := s.now + after
+	k := packetData
+	if at >= f.ends {
+		at, k = max(f.ends, s.now+2*s.size.Callers), packetClose
+	}
+	next := s.queue.add(at, evSend)
+	next.flow, next.packet = e.flow, k
+}
+
+// broken notes the end of a flow that should have gone on.
+func (s *sim) broken(f *flow, c cause) {
+	if f.state == flowEnded {
+		return
+	}
+	wasOpen := f.state == flowOpen
+	f.state = flowEnded
+	if f.target >= 0 {
+		s.targets[f.target].open--
+	}
+	switch {
+	case !wasOpen:
+		s.report.Refused++
+	case c == causeTarget || (f.target >= 0 && !s.targets[f.target].alive):
+		s.report.WithTarget++
+	case f.target >= 0 && !s.reach(int(f.caller), s.targets[f.target].dataCentre):
+		s.report.CutOff++
+	default:
+		s.report.BrokenFlows++
+		s.report.BrokenBy[c.String()]++
+		s.report.oldestBroken = max(s.report.oldestBroken, s.now-f.opened)
+		s.report.youngestOwnerGap(s.now - f.opened)
+	}
+}
--- a/messenger/seal.go
+++ b/messenger/seal.go
@@ -19,6 +19,7 @@
 	DatagramGossip DatagramKind = iota + 1
 	DatagramUpdates
 	DatagramUpdatesAck
+	DatagramHints
 	datagramKinds
 )
 
--- a/messenger/updates.go
+++ b/messenger/updates.go
@@ -29,6 +29,45 @@
 	Sequence uint64
 }
 
+// HintSize is the size of one hint in a batch, in bytes.
+const HintSize = 12
+
+// Hints is a batch of hints from an owner. The records are packed: the flow, the
+// place.
+type Hints struct {
+	_       struct{} `cbor:",toarray"`
+	From    string
+	Records []byte
+}
+
+// Validate checks a decoded batch. It returns a *SizeError.
+func (h Hints) Validate() error {
+	if len(h.Records)%HintSize != 0 || len(h.Records) > MaxUpdates*HintSize || h.From == "" {
+		return &SizeError{Size: len(h.Records)}
+	}
+	return nil
+}
+
+// PackHints returns the packed form of hints.
+func PackHints(hints []picker.AddressedHint) []byte {
+	b := make([]byte, 0, len(hints)*HintSize)
+	for _, h := range hints {
+		b = binary.BigEndian.AppendUint64(b, h.Hint.Hash)
+		b = binary.BigEndian.AppendUint32(b, uint32(h.Hint.Place))
+	}
+	return b
+}
+
+// Each calls f for every record of a valid batch.
+func (h Hints) Each(f func(picker.Hint)) {
+	for b := h.Records; len(b) >= HintSize; b = b[HintSize:] {
+		f(picker.Hint{
+			Hash:  binary.BigEndian.Uint64(b),
+			Place: picker.PlaceID(binary.BigEndian.Uint32(b[8:])),
+		})
+	}
+}
+
 // SizeError reports packed records whose size does not hold together.
 type SizeError struct {
 	Size int // bytes
--- a/picker/learn.go
+++ b/picker/learn.go
@@ -29,8 +29,12 @@
 	e.place = h.Place
 	e.view = 0
 	e.seen, e.renewed = now, now
-	e.sequence = h.Sequence
-	e.flags |= flagSequence | flagConfirmed
+	e.flags |= flagConfirmed
+	e.flags &^= flagSequence
+	if h.Authoritative {
+		e.sequence = h.Sequence
+		e.flags |= flagSequence
+	}
 	e.flags &^= flagClosing
 	if e.kind == kindReplica && !mine {
 		p.table.convert(e, kindHint)
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -52,6 +52,7 @@
 	table      *table
 	loads      map[PlaceID]int
 	repl       replication
+	hints      []queuedHint
 	handover   []uint64 // flows owned until this instance began to leave
 	settle     time.Duration
 	renewal    time.Duration
@@ -65,6 +66,7 @@
 type Counters struct {
 	Opened, SecondChoice, Derived, Asked, AskLimited, Repicked  uint64
 	EvictedOwned, EvictedHints, EvictedReplicas, CorrectedHints uint64
+	HintsPassedOver                                             uint64
 }
 
 // Sizes are the numbers of entries of each kind.
@@ -226,7 +228,7 @@
 		}
 	}
 	p.note(now, in, e)
-	return p.forward(in, e, ReasonKnown)
+	return p.forward(now, in, e, ReasonKnown)
 }
 
 // wantsOwner tells whether a packet that could go straight to its target should
@@ -271,13 +273,13 @@
 	switch {
 	case again && (!pl.target.Dead || e.has(flagConfirmed)):
 		p.table.touch(e, now)
-		return p.forward(in, e, ReasonKnown)
+		return p.forward(now, in, e, ReasonKnown)
 	case again:
 		p.counters.Repicked++
 		return p.repick(now, in, e, pl.service, ReasonRepicked)
 	case !e.has(flagSequence) && pl.target.Fit:
 		p.restart(now, in, e)
-		return p.forward(in, e, ReasonKnown)
+		return p.forward(now, in, e, ReasonKnown)
 	}
 	return p.repick(now, in, e, pl.service, ReasonPicked)
 }
@@ -448,7 +450,7 @@
 	p.counters.Derived++
 	e := p.insert(now, in, index)
 	e.flags |= flagConfirmed
-	d := p.forward(in, e, ReasonDerived)
+	d := p.forward(now, in, e, ReasonDerived)
 	if in.Reset {
 		p.drop(e)
 	}
@@ -511,7 +513,7 @@
 	e.sequence = in.Sequence
 	e.flags = flagSequence | e.flags&flagDatagram
 	p.table.touch(e, now)
-	return p.forward(in, e, why)
+	return p.forward(now, in, e, why)
 }
 
 // overloaded compares the load of the first and second choice, each in relation
@@ -554,7 +556,7 @@
 }
 
 // forward answers with the place of the entry and the hints that are due.
-func (p *Picker) forward(in packetInfo, e *entry, why Reason) Decision {
+func (p *Picker) forward(now time.Duration, in packetInfo, e *entry, why Reason) Decision {
 	d := Decision{Verdict: Forward, Reason: why, Endpoint: p.view.places[e.index].target.Endpoint}
 	if in.trail.Hops == 0 && why == ReasonKnown {
 		return d
@@ -563,14 +565,18 @@
 	if in.trail.Hops == 0 {
 		return d
 	}
+	if in.trail.Asker == 0 || in.trail.Asker == p.view.self {
+		if e.kind == kindOwned && in.trail.Origin != p.view.self {
+			p.queueHint(now, in, e)
+		}
+		return d
+	}
+	d.HintAsker = in.trail.Asker
+	e.hinted |= memberBit(in.trail.Asker)
 	if in.trail.Origin != p.view.self {
 		d.HintOrigin = in.trail.Origin
 		e.hinted |= memberBit(in.trail.Origin)
 	}
-	if in.trail.Asker != 0 && in.trail.Asker != p.view.self {
-		d.HintAsker = in.trail.Asker
-		e.hinted |= memberBit(in.trail.Asker)
-	}
 	return d
 }
 
--- a/picker/table.go
+++ b/picker/table.go
@@ -36,6 +36,7 @@
 	older    int32
 	kind     kind
 	flags    uint8
+	asked    uint8 // packets of the flow that others relayed, modulo 256
 }
 
 func (e *entry) has(flag uint8) bool {
