picker: stream exceptions to all members in place of hints

Cause: a hint for each flow and instance took the whole control budget and left 74.7% of the packets relayed. Change: owners stream exceptions to every member and say how complete the stream is; where no record came, a flow is derived.

--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -17,7 +17,7 @@
 	Received, Relayed, Forwarded, Refused, TooBig, Forged atomic.Uint64
 	RelayedIn, HintsOut, HintsIn, SendFailed              atomic.Uint64
 	ControlIn, ControlOut, ControlDropped                 atomic.Uint64 // bytes, bytes, datagrams
-	UpdatesOut, UpdatesIn, UpdatesResent, UpdatesLost     atomic.Uint64
+	RecordsOut, RecordsIn                                 atomic.Uint64
 
 	faults  [faultSlots]atomic.Uint64
 	reasons [reasonSlots]atomic.Uint64
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -64,9 +64,8 @@
 	peerConn batchConn
 	pool     *ants.Pool
 
-	mu         sync.Mutex // guards picker and replicator
-	picker     *picker.Picker
-	replicator replicator
+	mu     sync.Mutex // guards picker
+	picker *picker.Picker
 
 	peers      atomic.Pointer[peerTable]
 	lastFabric atomic.Pointer[net.UDPAddr]
@@ -154,7 +153,6 @@
 	if f.picker == nil {
 		f.picker = picker.New(picker.WithSeed(keys.Flow))
 	}
-	f.replicator = newReplicator()
 	f.peers.Store(&peerTable{})
 	pool, err := ants.NewPool(4, ants.WithNonblocking(true), ants.WithLogger(antsLogger{f.log}))
 	if err != nil {
@@ -251,7 +249,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.picker.SetView(f.now(), v)
-	f.replicator.setNames(members)
 }
 
 // Sizes returns the numbers of entries of the flow table.
--- a/forwarder/loop.go
+++ b/forwarder/loop.go
@@ -249,10 +249,13 @@
 		h.Authoritative = true
 		l.hintTo(d.HintAsker, h)
 	}
-	if d.Correct == 0 {
+	if d.HintNear != 0 {
+		l.hintTo(d.HintNear, d.Hint)
+	}
+	if !d.Correct {
 		return
 	}
-	for _, id := range l.f.picker.Corrections(d.Correct) {
+	for _, id := range l.f.picker.Members() {
 		l.hintTo(id, d.Hint)
 	}
 }
--- a/measurer/policy.go
+++ b/measurer/policy.go
@@ -32,12 +32,11 @@
 	Packet(now time.Duration, p parser.Packet) picker.Decision
 	Relayed(now time.Duration, p parser.Packet, t picker.Trail) picker.Decision
 	Learn(now time.Duration, h picker.Hint)
-	Store(now time.Duration, u picker.Update)
+	TakeSync(now time.Duration, from picker.MemberID, m picker.Sync)
 	SetView(now time.Duration, v *picker.View)
-	Due(now time.Duration, limit int) []picker.Update
-	DueHints(limit int) []picker.AddressedHint
-	Handover() []picker.Update
-	Corrections(set uint64) []picker.MemberID
+	Sync(now time.Duration, to picker.MemberID, limit int) (picker.Sync, bool)
+	Flush()
+	Members() []picker.MemberID
 	Tick(now time.Duration)
 	Sizes() picker.Sizes
 	Counters() picker.Counters
@@ -139,23 +138,22 @@
 // Learn implements decider.
 func (b *baseline) Learn(time.Duration, picker.Hint) {}
 
-// Store implements decider.
-func (b *baseline) Store(time.Duration, picker.Update) {}
+// TakeSync implements decider.
+func (b *baseline) TakeSync(time.Duration, picker.MemberID, picker.Sync) {}
 
 // SetView implements decider.
 func (b *baseline) SetView(time.Duration, *picker.View) {}
 
-// Due implements decider.
-func (b *baseline) Due(time.Duration, int) []picker.Update { return nil }
-
-// DueHints implements decider.
-func (b *baseline) DueHints(int) []picker.AddressedHint { return nil }
+// Sync implements decider.
+func (b *baseline) Sync(time.Duration, picker.MemberID, int) (picker.Sync, bool) {
+	return picker.Sync{}, false
+}
 
-// Handover implements decider.
-func (b *baseline) Handover() []picker.Update { return nil }
+// Flush implements decider.
+func (b *baseline) Flush() {}
 
-// Corrections implements decider.
-func (b *baseline) Corrections(uint64) []picker.MemberID { return nil }
+// Members implements decider.
+func (b *baseline) Members() []picker.MemberID { return nil }
 
 // Tick implements decider.
 func (b *baseline) Tick(time.Duration) {}
--- a/measurer/queue.go
+++ b/measurer/queue.go
@@ -16,7 +16,7 @@
 	evRelay              // a packet reaches an instance from another one
 	evTarget             // a packet reaches a target
 	evHint               // a hint reaches an instance
-	evUpdate             // an update reaches an instance
+	evSync               // a message of a stream reaches an instance
 	evTick               // an instance does its periodic work
 	evSample             // the balance is looked at
 	evAction             // a step of the scenario, or news that reaches an instance
@@ -35,7 +35,7 @@
 	from   int32 // the instance that sent it
 	trail  picker.Trail
 	hint   picker.Hint
-	update picker.Update
+	sync   picker.Sync
 	action func()
 }
 
--- a/measurer/report.go
+++ b/measurer/report.go
@@ -72,13 +72,11 @@
 	ExtraWork    float64        `json:"extra-work-share"`
 	Over         []Sample       `json:"imbalance-over-time"`
 
-	packets, relayed, updates, hints int
-	controlBytes                     float64
-	oldestBroken                     time.Duration
+	packets, relayed, records int
+	controlBytes              float64
+	oldestBroken              time.Duration
 }
 
-func (r *Report) youngestOwnerGap(time.Duration) {}
-
 // samples sums up the balance over time, service by service.
 type samples struct {
 	maxMean, cv float64
@@ -151,7 +149,7 @@
 	r.Scenario, r.Deployment, r.Policy, r.Seed = s.set.Scenario, s.size.Name, s.policy, s.set.Seed
 	r.Seconds = s.now.Seconds()
 	r.NewPerSecond = s.rate
-	var opened, second uint64
+	var opened, exceptions uint64
 	asked := uint64(0)
 	running := 0
 	for _, one := range s.instances {
@@ -162,7 +160,7 @@
 		sizes, c := one.decider.Sizes(), one.decider.Counters()
 		r.Tracked += float64(sizes.Owned + sizes.Hints + sizes.Replicas)
 		opened += c.Opened
-		second += c.SecondChoice
+		exceptions += c.Exceptions
 		asked += c.Asked
 	}
 	for i := range s.flows {
@@ -172,7 +170,7 @@
 	}
 	r.Tracked /= float64(max(1, running))
 	r.FlowBytes = entryBytes
-	r.Exceptions = share(float64(second), float64(opened))
+	r.Exceptions = share(float64(exceptions), float64(opened))
 	r.RelayedShare = share(float64(r.relayed), float64(r.packets))
 	r.AskedShare = share(float64(asked), float64(r.packets))
 	r.BrokenShare = share(float64(r.BrokenFlows), float64(r.OpenAtEnd+r.BrokenFlows))
--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"almondpick/messenger"
 )
 
 // scenario is one course of events.
@@ -175,8 +177,13 @@
 	s.spread(newsLeast, s.lagMost, func(b *belief) { b.members[i] = memberLeaving })
 	life := one.life
 	s.at(s.now+time.Second, func() {
-		if one.running && one.life == life {
-			s.sendUpdates(one, one.decider.Handover())
+		for n := range 5 {
+			s.at(s.now+time.Duration(n)*tickEvery, func() {
+				if one.running && one.life == life {
+					one.decider.Flush()
+					s.sync(i, messenger.MaxRecords)
+				}
+			})
 		}
 	})
 	s.at(s.now+max(leaveAfter, 2*s.lagMost), func() {
--- a/measurer/sim.go
+++ b/measurer/sim.go
@@ -19,8 +19,8 @@
 	firstRetry      = 200 * time.Millisecond
 	lastRetry       = 10 * time.Second
 	mostRetries     = 12
-	batchBytes      = 40 // of a datagram beside its records
-	ackBytes        = 40
+	syncEvery       = 500 * time.Millisecond
+	syncBytes       = 52     // of a datagram beside its records
 	defaultBudget   = 3072.0 // bytes a second
 	messageLossPart = 0.0005 // of the datagrams between instances are lost
 )
@@ -208,9 +208,9 @@
 		if s.instances[e.who].running {
 			s.instances[e.who].decider.Learn(s.now, e.hint)
 		}
-	case evUpdate:
+	case evSync:
 		if s.instances[e.who].running {
-			s.instances[e.who].decider.Store(s.now, e.update)
+			s.instances[e.who].decider.TakeSync(s.now, s.instances[e.from].id, e.sync)
 		}
 	case evTick:
 		s.tick(int(e.who), int(e.tries))
@@ -378,8 +378,11 @@
 		h.Authoritative = true
 		send(d.HintAsker, h)
 	}
-	if d.Correct != 0 {
-		for _, id := range one.decider.Corrections(d.Correct) {
+	if d.HintNear != 0 {
+		send(d.HintNear, d.Hint)
+	}
+	if d.Correct {
+		for _, id := range one.decider.Members() {
 			send(id, d.Hint)
 		}
 	}
@@ -411,55 +414,32 @@
 		return
 	}
 	one.decider.Tick(s.now)
-	one.tokens = min(one.tokens+s.set.Budget*tickEvery.Seconds(), s.set.Budget)
-	if limit := int((one.tokens - batchBytes) / messenger.UpdateSize); limit > 0 {
-		s.sendUpdates(one, one.decider.Due(s.now, limit))
-	}
-	if limit := int((one.tokens - batchBytes) / messenger.HintSize); limit > 0 {
-		s.sendHints(one, one.decider.DueHints(min(limit, messenger.MaxUpdates)))
+	if s.now >= one.nextSync {
+		one.nextSync = s.now + syncEvery
+		s.sync(i, s.recordLimit(one))
 	}
 	e := s.queue.add(s.now+tickEvery, evTick)
 	e.who, e.tries = int32(i), uint8(life)
 }
 
-// sendUpdates delivers updates. A lost batch is repeated, as by the flow door.
-func (s *sim) sendUpdates(one *instance, updates []picker.Update) {
-	receivers := make(map[picker.MemberID]bool)
-	for _, u := range updates {
-		receivers[u.To] = true
-		one.tokens -= messenger.UpdateSize
-		s.spend(one, messenger.UpdateSize)
-		s.report.updates++
-		s.deliverUpdate(one, u, 0)
-	}
-	overhead := float64(len(receivers)) * (batchBytes + ackBytes)
-	one.tokens -= overhead
-	s.spend(one, overhead)
+// recordLimit keeps the streams of an instance within its budget.
+func (s *sim) recordLimit(one *instance) int {
+	members := float64(max(1, len(one.decider.Members())))
+	return max(1, int((s.set.Budget*syncEvery.Seconds()/members-syncBytes)/messenger.RecordSize))
 }
 
-func (s *sim) deliverUpdate(one *instance, u picker.Update, tries int) {
-	const again, most = 300 * time.Millisecond, 5
-	if s.message(one, u.To, evUpdate, func(e *event) { e.update = u }) || tries >= most {
-		return
-	}
-	s.at(s.now+again, func() {
-		if one.running {
-			s.deliverUpdate(one, u, tries+1)
+// sync sends every member the next message of the stream of exceptions.
+func (s *sim) sync(i, limit int) {
+	one := s.instances[i]
+	for _, to := range one.decider.Members() {
+		m, ok := one.decider.Sync(s.now, to, limit)
+		if !ok {
+			continue
 		}
-	})
-}
-
-func (s *sim) sendHints(one *instance, hints []picker.AddressedHint) {
-	if len(hints) == 0 {
-		return
-	}
-	for _, h := range hints {
-		s.message(one, h.To, evHint, func(e *event) { e.hint = h.Hint })
+		s.spend(one, float64(syncBytes+len(m.Records)*messenger.RecordSize))
+		s.report.records += len(m.Records)
+		s.message(one, to, evSync, func(e *event) { e.sync, e.from = m, int32(i) })
 	}
-	bytes := float64(batchBytes + len(hints)*messenger.HintSize)
-	one.tokens -= bytes
-	s.spend(one, bytes)
-	s.report.hints += len(hints)
 }
 
 // at has something done at a time.
@@ -533,6 +513,5 @@
 		s.report.BrokenFlows++
 		s.report.BrokenBy[c.String()]++
 		s.report.oldestBroken = max(s.report.oldestBroken, s.now-f.opened)
-		s.report.youngestOwnerGap(s.now - f.opened)
 	}
 }
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -54,7 +54,7 @@
 	believes   belief
 	running    bool
 	fabric     bool // the fabric hands it packets
-	tokens     float64
+	nextSync   time.Duration
 	bytes      float64 // of control, sent
 	life       int     // counts restarts, so that news for an earlier life is dropped
 }
--- a/messenger/seal.go
+++ b/messenger/seal.go
@@ -17,9 +17,7 @@
 // The kinds of datagrams.
 const (
 	DatagramGossip DatagramKind = iota + 1
-	DatagramUpdates
-	DatagramUpdatesAck
-	DatagramHints
+	DatagramSync
 	datagramKinds
 )
 
--- /dev/null
+++ b/messenger/sync.go
@@ -0,0 +1,77 @@
+package messenger
+
+import (
+	"encoding/binary"
+	"strconv"
+	"time"
+
+	"almondpick/picker"
+)
+
+// RecordSize is the size of one exception in a Sync, in bytes.
+const RecordSize = 12
+
+// MaxRecords is how many exceptions one Sync carries at most.
+const MaxRecords = 100
+
+// maxLag bounds what a Sync may claim.
+const maxLag = 24 * time.Hour
+
+// Sync is picker.Sync as it travels. The records are packed: the flow, then the
+// place.
+type Sync struct {
+	_        struct{} `cbor:",toarray"`
+	From     string
+	Sequence uint64
+	Echo     uint64
+	LagMilli int64 // rounded up; negative where the stream is not complete
+	View     uint64
+	Records  []byte
+}
+
+// SizeError reports packed records whose size does not hold together.
+type SizeError struct {
+	Size int // bytes
+}
+
+// Error implements error.
+func (e *SizeError) Error() string {
+	return "packed records have an impossible size: " + strconv.Itoa(e.Size)
+}
+
+// Validate checks a decoded message. It returns a *SizeError.
+func (s Sync) Validate() error {
+	if len(s.Records)%RecordSize != 0 || len(s.Records) > MaxRecords*RecordSize || s.From == "" {
+		return &SizeError{Size: len(s.Records)}
+	}
+	if s.LagMilli > maxLag.Milliseconds() {
+		return &SizeError{Size: int(s.LagMilli)}
+	}
+	return nil
+}
+
+// PackSync returns the form in which a message travels.
+func PackSync(from string, m picker.Sync) Sync {
+	lag := int64(-1)
+	if m.Lag >= 0 {
+		lag = (m.Lag + time.Millisecond - 1).Milliseconds()
+	}
+	b := make([]byte, 0, len(m.Records)*RecordSize)
+	for _, r := range m.Records {
+		b = binary.BigEndian.AppendUint64(b, r.Hash)
+		b = binary.BigEndian.AppendUint32(b, uint32(r.Place))
+	}
+	return Sync{From: from, Sequence: m.Sequence, Echo: m.Echo, LagMilli: lag, View: m.View, Records: b}
+}
+
+// Unpack returns the message of a valid Sync.
+func (s Sync) Unpack() picker.Sync {
+	m := picker.Sync{Sequence: s.Sequence, Echo: s.Echo, Lag: time.Duration(s.LagMilli) * time.Millisecond, View: s.View}
+	for b := s.Records; len(b) >= RecordSize; b = b[RecordSize:] {
+		m.Records = append(m.Records, picker.Record{
+			Hash:  binary.BigEndian.Uint64(b),
+			Place: picker.PlaceID(binary.BigEndian.Uint32(b[8:])),
+		})
+	}
+	return m
+}
--- a/picker/decision.go
+++ b/picker/decision.go
@@ -82,17 +82,10 @@
 	// HintOrigin and HintAsker name the instances to send Hint to, or are 0.
 	HintOrigin MemberID
 	HintAsker  MemberID
-	// Correct is set when earlier hints have become wrong: Hint goes to every
-	// member m with Correct&memberBit(m) != 0. Members tells which those are.
-	Correct uint64
-}
-
-// Update is one record for a backup instance.
-type Update struct {
-	To     MemberID
-	Hash   uint64
-	Place  PlaceID
-	Remove bool
+	HintNear   MemberID // keeps the flow near its target
+	// Correct is set when others may remember an older place of the flow: Hint goes
+	// to every member.
+	Correct bool
 }
 
 // packetInfo is what one decision works on.
@@ -102,10 +95,6 @@
 	trail Trail
 }
 
-func memberBit(id MemberID) uint64 {
-	return 1 << (uint64(id) & 63)
-}
-
 // Reasons returns every reason, for metrics that are registered ahead.
 func Reasons() []Reason {
 	all := make([]Reason, 0, reasonCount)
--- a/picker/learn.go
+++ b/picker/learn.go
@@ -23,14 +23,18 @@
 		e.opened = now
 	} else if e.kind == kindOwned {
 		p.unload(e)
-		p.repl.end(e.hash)
+		p.streams.end(e.hash)
 		p.table.convert(e, kindHint)
 	}
 	e.place = h.Place
 	e.view = 0
-	e.seen, e.renewed = now, now
+	e.seen = now
+	e.renewed = now
+	if e.opened == now {
+		e.renewed = now - p.renewal // as for a record of a stream
+	}
 	e.flags |= flagConfirmed
-	e.flags &^= flagSequence
+	e.flags &^= flagSequence | flagPending
 	if h.Authoritative {
 		e.sequence = h.Sequence
 		e.flags |= flagSequence
@@ -40,42 +44,20 @@
 		p.table.convert(e, kindHint)
 	}
 	if mine {
-		p.own(now, e)
+		p.own(e)
 	}
 }
 
 // own makes this instance the one that decides about the flow of the entry.
-func (p *Picker) own(now time.Duration, e *entry) {
+func (p *Picker) own(e *entry) {
+	if e.has(flagPending) {
+		return
+	}
 	p.table.convert(e, kindOwned)
 	if !e.has(flagClosing) {
 		p.loads[e.place]++
 	}
-	p.classify(now, e)
-}
-
-// Store takes in a record that another owner wants kept.
-func (p *Picker) Store(now time.Duration, u Update) {
-	e := p.table.get(u.Hash)
-	if u.Remove {
-		if e != nil && e.kind == kindReplica {
-			p.table.remove(u.Hash)
-		}
-		return
-	}
-	if e != nil && e.kind == kindOwned {
-		return
-	}
-	if e == nil {
-		e = p.table.put(u.Hash, kindReplica)
-		e.opened = now
-	}
-	e.place = u.Place
-	e.view = 0
-	e.seen, e.renewed = now, now
-	e.flags |= flagConfirmed
-	if owner, ok := p.view.owner(u.Hash); ok && owner == p.view.self {
-		p.own(now, e)
-	}
+	p.classify(e)
 }
 
 // SetView puts a new view into use. Where the members or the base sets differ
@@ -85,6 +67,7 @@
 	old := p.view
 	p.view = v
 	p.generation++
+	p.streams.setMembers(v.self, v.members)
 	if !slices.Equal(old.serving, v.serving) {
 		p.changed = now
 		p.previous = p.stillAlive(old)
@@ -135,17 +118,17 @@
 	owner, ok := p.view.owner(e.hash)
 	mine := ok && owner == p.view.self
 	switch {
+	case e.has(flagPending):
+		p.table.remove(e.hash) // the next packet asks the present owner
 	case mine && e.kind != kindOwned:
-		p.own(now, e)
+		p.own(e)
 	case mine:
-		p.classify(now, e)
+		p.classify(e)
 	case e.kind == kindOwned:
+		// Its record stays in the stream until the members have it.
 		p.unload(e)
-		p.repl.forget(e.hash)
 		p.table.convert(e, kindHint)
 		e.renewed = now
-		if !slices.Contains(p.view.serving, uint64(p.view.self)) {
-			p.handover = append(p.handover, e.hash)
-		}
+		p.streams.hasten(e.hash)
 	}
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -30,6 +30,7 @@
 	DefaultRenewal      = time.Minute
 	DefaultAskRate      = 20000 // questions a second
 	maxHops             = 9
+	hintIdle            = time.Minute
 )
 
 // Mode chooses how exceptions reach their backup.
@@ -51,9 +52,8 @@
 	seed       parser.Seed
 	table      *table
 	loads      map[PlaceID]int
-	repl       replication
-	hints      []queuedHint
-	handover   []uint64 // flows owned until this instance began to leave
+	questions  []question
+	streams    streams
 	settle     time.Duration
 	renewal    time.Duration
 	askRate    float64
@@ -66,6 +66,7 @@
 type Counters struct {
 	Opened, SecondChoice, Derived, Asked, AskLimited, Repicked  uint64
 	EvictedOwned, EvictedHints, EvictedReplicas, CorrectedHints uint64
+	Exceptions, Resolved                                        uint64
 	HintsPassedOver                                             uint64
 }
 
@@ -94,8 +95,8 @@
 // WithReplication sets the mode, and the age from which a flow is replicated.
 func WithReplication(m Mode, window time.Duration) Option {
 	return func(p *Picker) {
-		p.repl.mode = m
-		p.repl.window = window
+		p.streams.mode = m
+		p.streams.window = window
 	}
 }
 
@@ -120,7 +121,7 @@
 		settle:     DefaultSettle,
 		renewal:    DefaultRenewal,
 		askRate:    DefaultAskRate,
-		repl:       newReplication(ReplicateWindow, DefaultWindow),
+		streams:    newStreams(ReplicateWindow, DefaultWindow),
 	}
 	p.table = newTable(DefaultOwnedLimit, DefaultHintLimit, DefaultReplicaLimit, p.evicted)
 	for _, o := range opts {
@@ -140,7 +141,7 @@
 		Owned:      p.table.lists[kindOwned].size,
 		Hints:      p.table.lists[kindHint].size,
 		Replicas:   p.table.lists[kindReplica].size,
-		Exceptions: len(p.repl.records),
+		Exceptions: len(p.streams.records),
 	}
 }
 
@@ -154,7 +155,7 @@
 	case kindOwned:
 		p.counters.EvictedOwned++
 		p.unload(e)
-		p.repl.forget(e.hash)
+		p.streams.end(e.hash)
 	case kindHint:
 		p.counters.EvictedHints++
 	default:
@@ -220,7 +221,7 @@
 	if in.Opening {
 		return p.reopening(now, in, e)
 	}
-	if e.kind == kindHint && in.trail.Hops == 0 && p.wantsOwner(now, in, e) {
+	if e.kind != kindOwned && in.trail.Hops == 0 && p.wantsOwner(now, in, e) {
 		if owner, ok := p.view.owner(in.hash); ok && owner != p.view.self {
 			e.renewed = now
 			p.note(now, in, e)
@@ -228,7 +229,7 @@
 		}
 	}
 	p.note(now, in, e)
-	return p.forward(now, in, e, ReasonKnown)
+	return p.forward(in, e, ReasonKnown)
 }
 
 // wantsOwner tells whether a packet that could go straight to its target should
@@ -259,27 +260,29 @@
 // reopening handles an opening packet for a flow in the table: a retransmission,
 // or the caller using the port again. Only the owner can tell, by the sequence
 // number. A retransmission keeps its target, however slow that is, and is moved
-// only when the target was found dead and nothing but opening packets was seen.
+// only when the target was found dead and nothing but opening packets was seen. A
+// new flow keeps the target of the old one while that takes new flows: others may
+// still remember it. Otherwise every member is told of the new one.
 func (p *Picker) reopening(now time.Duration, in packetInfo, e *entry) Decision {
 	owner, ok := p.view.owner(in.hash)
 	if ok && owner != p.view.self && in.trail.Hops < maxHops && e.kind != kindOwned {
 		return p.relay(in, owner, ReasonToOwner)
 	}
 	if e.kind != kindOwned {
-		p.own(now, e)
+		p.own(e)
 	}
 	pl := &p.view.places[e.index]
 	again := e.has(flagSequence) && e.sequence == in.Sequence
 	switch {
 	case again && (!pl.target.Dead || e.has(flagConfirmed)):
 		p.table.touch(e, now)
-		return p.forward(now, in, e, ReasonKnown)
+		return p.forward(in, e, ReasonKnown)
 	case again:
 		p.counters.Repicked++
 		return p.repick(now, in, e, pl.service, ReasonRepicked)
-	case !e.has(flagSequence) && pl.target.Fit:
+	case pl.target.Fit:
 		p.restart(now, in, e)
-		return p.forward(now, in, e, ReasonKnown)
+		return p.forward(in, e, ReasonKnown)
 	}
 	return p.repick(now, in, e, pl.service, ReasonPicked)
 }
@@ -299,12 +302,11 @@
 // given out for the earlier one.
 func (p *Picker) repick(now time.Duration, in packetInfo, e *entry, c *compiled, why Reason) Decision {
 	old := e.place
-	told := e.hinted
 	p.unload(e)
 	e.flags |= flagClosing
 	d := p.pick(now, in, c, e, why)
 	if d.Verdict == Forward && d.Hint.Place != old {
-		d.Correct = told
+		d.Correct = true
 		p.counters.CorrectedHints++
 	}
 	return d
@@ -327,7 +329,7 @@
 	}
 	if in.trail.Hops < 2 && now-p.changed < settle {
 		if prev, ok := p.previousOwner(in); ok {
-			return p.ask(in, prev, 2)
+			return p.ask(now, in, prev, 2)
 		}
 	}
 	return p.pick(now, in, c, nil, ReasonPicked)
@@ -359,7 +361,7 @@
 // last one that is asked gives the base set's answer.
 func (p *Picker) unknown(now time.Duration, in packetInfo, c *compiled, owner MemberID) Decision {
 	if in.trail.Hops == 0 && owner != p.view.self {
-		return p.relay(in, owner, ReasonToOwner)
+		return p.pending(now, in, c, owner)
 	}
 	if in.trail.Asker == 0 && owner != p.view.self && in.trail.Hops < maxHops {
 		return p.relay(in, owner, ReasonToOwner)
@@ -375,11 +377,38 @@
 		return p.derive(now, in, c)
 	}
 	if next, at, ok := p.nextToAsk(in, position); ok {
-		return p.ask(in, next, uint8(at+2))
+		return p.ask(now, in, next, uint8(at+2))
 	}
 	return p.derive(now, in, c)
 }
 
+// pending handles a packet from the fabric of a flow that another instance owns and
+// this one has no place for. It is relayed; once the owner's stream of exceptions is
+// complete up to the first such packet, the flow is known to be derivable.
+func (p *Picker) pending(now time.Duration, in packetInfo, c *compiled, owner MemberID) Decision {
+	e := p.table.get(in.hash)
+	switch {
+	case e == nil:
+		e = p.table.put(in.hash, kindHint)
+		e.seen, e.opened = now, now
+		e.flags = flagPending
+		if in.Key.Protocol == parser.ProtocolUDP {
+			e.flags |= flagDatagram
+		}
+	case e.kind == kindHint && e.has(flagPending) && p.derivedBy(owner, e.opened):
+		if index := c.fallback(in.hash); index >= 0 {
+			p.counters.Resolved++
+			e.flags = e.flags&^flagPending | flagConfirmed
+			e.renewed = now
+			p.aim(e, index)
+			return p.known(now, in, e)
+		}
+	default:
+		p.table.touch(e, now)
+	}
+	return p.relay(in, owner, ReasonToOwner)
+}
+
 // nextToAsk returns the next member of the question's order and its position in
 // it. The order is by rank, without the asker and the origin, who do not know.
 func (p *Picker) nextToAsk(in packetInfo, position int) (MemberID, int, bool) {
@@ -419,7 +448,7 @@
 
 // ask passes the packet of a flow that this owner does not know to another
 // member, or passes on somebody else's question.
-func (p *Picker) ask(in packetInfo, to MemberID, hops uint8) Decision {
+func (p *Picker) ask(now time.Duration, in packetInfo, to MemberID, hops uint8) Decision {
 	t := in.trail
 	if t.Hops == 0 {
 		t.Origin = p.view.self
@@ -427,6 +456,9 @@
 	if t.Asker == 0 {
 		t.Asker = p.view.self
 		p.counters.Asked++
+		if len(p.questions) < questionLimit {
+			p.questions = append(p.questions, question{hash: in.hash, at: now})
+		}
 	}
 	t.Hops = hops
 	return Decision{Verdict: Relay, Reason: ReasonAsk, To: to, Trail: t}
@@ -450,7 +482,7 @@
 	p.counters.Derived++
 	e := p.insert(now, in, index)
 	e.flags |= flagConfirmed
-	d := p.forward(now, in, e, ReasonDerived)
+	d := p.forward(in, e, ReasonDerived)
 	if in.Reset {
 		p.drop(e)
 	}
@@ -473,7 +505,7 @@
 		e.flags |= flagDatagram
 	}
 	if k == kindOwned {
-		p.assign(now, e, index)
+		p.assign(e, index)
 	} else {
 		p.aim(e, index)
 	}
@@ -484,7 +516,9 @@
 func (p *Picker) drop(e *entry) {
 	if e.kind == kindOwned {
 		p.unload(e)
-		p.repl.end(e.hash)
+		p.streams.end(e.hash)
+	} else {
+		p.streams.forget(e.hash)
 	}
 	p.table.remove(e.hash)
 }
@@ -507,13 +541,32 @@
 	if e == nil {
 		e = p.insert(now, in, index)
 	} else {
-		p.assign(now, e, index)
+		p.assign(e, index)
 	}
 	e.opened = now
 	e.sequence = in.Sequence
 	e.flags = flagSequence | e.flags&flagDatagram
 	p.table.touch(e, now)
-	return p.forward(now, in, e, why)
+	d := p.forward(in, e, why)
+	if _, exception := p.streams.records[e.hash]; exception {
+		p.counters.Exceptions++
+		p.keepNear(&d, e)
+	}
+	return d
+}
+
+// keepNear has an exception told at once to an instance in the data centre of its
+// target, when the owner is in another one: a partition between the two would
+// otherwise leave nobody on the target's side who knows the flow.
+func (p *Picker) keepNear(d *Decision, e *entry) {
+	near := p.view.places[e.index].target.DataCentre
+	if p.view.dataCentre == near || p.streams.mode == ReplicateNever {
+		return
+	}
+	if id, ok := p.view.nearest(e.hash, near); ok {
+		d.HintNear = id
+		d.Hint = Hint{Hash: e.hash, Place: e.place, Sequence: e.sequence}
+	}
 }
 
 // overloaded compares the load of the first and second choice, each in relation
@@ -537,10 +590,10 @@
 
 // assign places an owned flow: it counts as load, and as an exception where
 // others could not derive the place.
-func (p *Picker) assign(now time.Duration, e *entry, index int32) {
+func (p *Picker) assign(e *entry, index int32) {
 	p.aim(e, index)
 	p.loads[e.place]++
-	p.classify(now, e)
+	p.classify(e)
 }
 
 // unload takes an owned entry off the load of its place, unless the end of the
@@ -556,7 +609,7 @@
 }
 
 // forward answers with the place of the entry and the hints that are due.
-func (p *Picker) forward(now time.Duration, in packetInfo, e *entry, why Reason) Decision {
+func (p *Picker) forward(in packetInfo, e *entry, why Reason) Decision {
 	d := Decision{Verdict: Forward, Reason: why, Endpoint: p.view.places[e.index].target.Endpoint}
 	if in.trail.Hops == 0 && why == ReasonKnown {
 		return d
@@ -566,31 +619,15 @@
 		return d
 	}
 	if in.trail.Asker == 0 || in.trail.Asker == p.view.self {
-		if e.kind == kindOwned && in.trail.Origin != p.view.self {
-			p.queueHint(now, in, e)
-		}
 		return d
 	}
 	d.HintAsker = in.trail.Asker
-	e.hinted |= memberBit(in.trail.Asker)
 	if in.trail.Origin != p.view.self {
 		d.HintOrigin = in.trail.Origin
-		e.hinted |= memberBit(in.trail.Origin)
 	}
 	return d
 }
 
-// Corrections returns the members whose bit is set in a decision's Correct.
-func (p *Picker) Corrections(set uint64) []MemberID {
-	var ids []MemberID
-	for _, m := range p.view.members {
-		if m.ID != p.view.self && set&memberBit(m.ID) != 0 {
-			ids = append(ids, m.ID)
-		}
-	}
-	return ids
-}
-
 // Tick does the housekeeping that is due: it looks at a part of the table and
 // forgets flows that have been idle too long.
 func (p *Picker) Tick(now time.Duration) {
@@ -610,9 +647,11 @@
 	switch {
 	case e.has(flagDatagram):
 		return limits.Datagram
+	case e.kind == kindHint:
+		return hintIdle
 	case e.has(flagClosing):
 		return limits.Closing
-	case e.kind == kindOwned && !e.has(flagConfirmed) && e.hinted == 0:
+	case e.kind == kindOwned && !e.has(flagConfirmed):
 		return limits.Opening
 	}
 	return limits.Established
--- /dev/null
+++ b/picker/stream.go
@@ -0,0 +1,440 @@
+package picker
+
+import (
+	"slices"
+	"time"
+
+	"almondpick/ranker"
+)
+
+// Record is one exception in a stream: where a flow goes that others cannot derive,
+// or, with place 0, that it is an exception no more.
+type Record struct {
+	Hash  uint64
+	Place PlaceID
+}
+
+// Sync is one message of the stream of exceptions from an owner to another member.
+type Sync struct {
+	Sequence uint64
+	// Echo is the sequence of the last message that the sender has from the
+	// receiver. It acknowledges the records in it and all before.
+	Echo uint64
+	// Lag tells how complete the stream is: the receiver now has every exception
+	// among the flows that were opened at least Lag before the message was sent.
+	// It is negative when records had to wait.
+	Lag time.Duration
+	// View is a digest of what the sender derives from: serving members, base sets.
+	View    uint64
+	Records []Record
+}
+
+// queuedRecord waits for a member's acknowledgement.
+type queuedRecord struct {
+	hash uint64
+	sent uint64 // sequence of the message that carried it last, or 0
+}
+
+// sentMessage remembers when a message was sent.
+type sentMessage struct {
+	sequence uint64
+	at       time.Duration
+}
+
+// peer is the state of the two streams between this instance and another member.
+type peer struct {
+	queue    []queuedRecord
+	queued   map[uint64]bool
+	sequence uint64
+	sent     []sentMessage
+	echo     uint64
+	// through: exceptions among flows opened until then are known, provided that
+	// the member derives from the same view.
+	through time.Duration
+	view    uint64
+}
+
+const sentKept = 32 // messages to one member whose time is remembered
+
+// streams spreads the exceptions of this owner to all members of the group.
+//
+// A flow whose target every instance derives from the base set needs no message at
+// all. The others are the exceptions, and each member is sent those that are older
+// than the window, so that flows which end sooner cost nothing. What makes the
+// absence of a record as good as a record is completeness: a message says that the
+// receiver has all exceptions among the flows opened a certain time before it was
+// sent. A member that relays a flow it does not know notes when it first did. Once
+// the owner's stream is complete up to then, either a record has come or the flow is
+// derivable, and the member sends its packets directly from then on.
+//
+// Both must agree on who owns what and on the base sets; a digest of the view goes
+// with every message. An owner that has asked others about flows counts these as
+// missing until it is answered, and one whose membership has just changed claims
+// nothing.
+//
+// No clocks are compared: a message echoes the latest message that its sender had
+// from the receiver, and the receiver knows when it sent that one.
+//
+// The window is the idea of window-consistent replication (Mehra, Rexford,
+// Jahanian): backups may lag by a bounded time, and updates are scheduled within
+// it. docs/MEASUREMENTS.md says what it is worth here.
+type streams struct {
+	mode    Mode
+	window  time.Duration
+	records map[uint64]record
+	waiting []due // exceptions that are younger than the window
+	peers   map[MemberID]*peer
+}
+
+// record is one exception of this owner.
+type record struct {
+	place    PlaceID
+	streamed bool // members were sent it
+}
+
+// due is one exception in the order in which flows come of age.
+type due struct {
+	hash   uint64
+	opened time.Duration
+}
+
+func newStreams(m Mode, window time.Duration) streams {
+	return streams{mode: m, window: window, records: make(map[uint64]record), peers: make(map[MemberID]*peer)}
+}
+
+// setMembers begins a stream to each new member with all that was streamed before,
+// and ends those to members that are gone.
+func (s *streams) setMembers(self MemberID, members []Member) {
+	for id := range s.peers {
+		if !slices.ContainsFunc(members, func(m Member) bool { return m.ID == id }) {
+			delete(s.peers, id)
+		}
+	}
+	for _, m := range members {
+		if m.ID == self || s.peers[m.ID] != nil {
+			continue
+		}
+		p := &peer{queued: make(map[uint64]bool), through: -1}
+		s.peers[m.ID] = p
+		for hash, r := range s.records {
+			if r.streamed {
+				p.enqueue(hash)
+			}
+		}
+		slices.SortFunc(p.queue, func(a, b queuedRecord) int {
+			if a.hash < b.hash {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+func (p *peer) enqueue(hash uint64) {
+	if p.queued[hash] {
+		for i := range p.queue {
+			if p.queue[i].hash == hash {
+				p.queue[i].sent = 0
+				return
+			}
+		}
+	}
+	p.queued[hash] = true
+	p.queue = append(p.queue, queuedRecord{hash: hash})
+}
+
+// forget drops a record without telling anyone: another owner speaks of the flow now.
+func (s *streams) forget(hash uint64) {
+	delete(s.records, hash)
+}
+
+// end drops a record and tells the members that were sent it.
+func (s *streams) end(hash uint64) {
+	r, ok := s.records[hash]
+	if !ok {
+		return
+	}
+	delete(s.records, hash)
+	if !r.streamed {
+		return
+	}
+	for _, p := range s.peers {
+		p.enqueue(hash)
+	}
+}
+
+// set makes the flow an exception. It is streamed once it is older than the window.
+func (s *streams) set(hash uint64, place PlaceID, opened time.Duration) {
+	old, known := s.records[hash]
+	if known && old.place == place {
+		return
+	}
+	s.records[hash] = record{place: place, streamed: old.streamed}
+	if old.streamed {
+		s.publish(hash)
+		return
+	}
+	s.waiting = append(s.waiting, due{hash: hash, opened: opened})
+}
+
+func (s *streams) publish(hash uint64) {
+	r, ok := s.records[hash]
+	if !ok {
+		return
+	}
+	r.streamed = true
+	s.records[hash] = r
+	for _, p := range s.peers {
+		p.enqueue(hash)
+	}
+}
+
+// hasten publishes an exception regardless of its age.
+func (s *streams) hasten(hash uint64) {
+	if r, ok := s.records[hash]; ok && !r.streamed {
+		s.publish(hash)
+	}
+}
+
+// age publishes the exceptions that have become older than the window.
+func (s *streams) age(now time.Duration) {
+	window := s.window
+	if s.mode == ReplicateAtOnce {
+		window = 0
+	}
+	n := 0
+	for n < len(s.waiting) && s.waiting[n].opened+window <= now {
+		s.publish(s.waiting[n].hash)
+		n++
+	}
+	s.waiting = s.waiting[n:]
+}
+
+// lag returns how far the stream is behind once all queues are empty.
+func (s *streams) lag(now time.Duration) time.Duration {
+	if len(s.waiting) == 0 {
+		return 0
+	}
+	return max(0, now-s.waiting[0].opened)
+}
+
+// question is a flow that this owner does not know and has asked others about.
+type question struct {
+	hash uint64
+	at   time.Duration
+}
+
+// Times of questions.
+const (
+	questionLimit  = 4096
+	questionExpiry = 10 * time.Second
+)
+
+// lag returns how far behind the stream of this instance is, or a negative value
+// while it cannot tell.
+func (p *Picker) lag(now time.Duration) time.Duration {
+	if now-p.changed < p.settle || len(p.questions) >= questionLimit {
+		return -1
+	}
+	lag := p.streams.lag(now)
+	for len(p.questions) > 0 {
+		q := p.questions[0]
+		e := p.table.get(q.hash)
+		if (e == nil || e.kind != kindOwned) && now-q.at < questionExpiry {
+			return max(lag, now-q.at)
+		}
+		p.questions = p.questions[1:]
+	}
+	return lag
+}
+
+// classify records an owned flow as an exception, or ends the record when the flow
+// has become derivable.
+func (p *Picker) classify(e *entry) {
+	pl := p.placeOf(e)
+	if pl == nil {
+		return
+	}
+	if pl.service.derivable(e.hash, e.place) {
+		p.streams.end(e.hash)
+		return
+	}
+	p.streams.set(e.hash, e.place, e.opened)
+}
+
+// placeOf finds the place of an entry without a packet to tell the service; nil
+// when the view no longer has it.
+func (p *Picker) placeOf(e *entry) *place {
+	if e.view != p.generation {
+		e.view = p.generation
+		e.index = -1
+		if index, ok := p.view.byPlace[e.place]; ok {
+			e.index = index
+		}
+	}
+	if e.index < 0 {
+		return nil
+	}
+	return &p.view.places[e.index]
+}
+
+// Members returns the other members, those to which Sync is due in every period.
+func (p *Picker) Members() []MemberID {
+	var ids []MemberID
+	for _, m := range p.view.members {
+		if m.ID != p.view.self {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// Sync returns the next message for a member, with at most limit records. Records
+// are repeated until they are acknowledged. It is false for an unknown member, and
+// when the mode is to replicate nothing.
+func (p *Picker) Sync(now time.Duration, to MemberID, limit int) (Sync, bool) {
+	s := &p.streams
+	to0, ok := s.peers[to]
+	if !ok || s.mode == ReplicateNever {
+		return Sync{}, false
+	}
+	s.age(now)
+	to0.sequence++
+	m := Sync{Sequence: to0.sequence, Echo: to0.echo, Lag: p.lag(now), View: p.view.digest}
+	n := min(limit, len(to0.queue))
+	if n < len(to0.queue) {
+		m.Lag = -1
+	}
+	for i := range n {
+		q := &to0.queue[i]
+		q.sent = to0.sequence
+		m.Records = append(m.Records, Record{Hash: q.hash, Place: s.records[q.hash].place})
+	}
+	to0.sent = append(to0.sent, sentMessage{sequence: to0.sequence, at: now})
+	if len(to0.sent) > sentKept {
+		to0.sent = to0.sent[1:]
+	}
+	return m, true
+}
+
+// TakeSync takes in a message of a member's stream.
+func (p *Picker) TakeSync(now time.Duration, from MemberID, m Sync) {
+	s, ok := p.streams.peers[from]
+	if !ok {
+		return
+	}
+	s.acknowledge(m.Echo)
+	if m.Sequence < s.echo && s.echo-m.Sequence < sentKept {
+		return // overtaken by a later one
+	}
+	s.echo = m.Sequence
+	for _, r := range m.Records {
+		p.store(now, from, r)
+	}
+	at, known := s.sentAt(m.Echo)
+	if m.Lag < 0 || !known {
+		return
+	}
+	s.through = at - m.Lag
+	s.view = m.View
+}
+
+func (p *peer) acknowledge(sequence uint64) {
+	if sequence > p.sequence {
+		return // of an earlier life of this instance
+	}
+	kept := p.queue[:0]
+	for _, q := range p.queue {
+		if q.sent != 0 && q.sent <= sequence {
+			delete(p.queued, q.hash)
+			continue
+		}
+		kept = append(kept, q)
+	}
+	p.queue = kept
+}
+
+func (p *peer) sentAt(sequence uint64) (time.Duration, bool) {
+	for _, m := range p.sent {
+		if m.sequence == sequence {
+			return m.at, true
+		}
+	}
+	return 0, false
+}
+
+// store takes in one record. What an owner says of its flow replaces what is known,
+// unless this instance owns the flow itself.
+func (p *Picker) store(now time.Duration, from MemberID, r Record) {
+	e := p.table.get(r.Hash)
+	if e != nil && e.kind == kindOwned {
+		return
+	}
+	if r.Place == 0 {
+		if e != nil && e.kind == kindReplica {
+			p.table.remove(r.Hash)
+		}
+		return
+	}
+	switch {
+	case e == nil:
+		e = p.table.put(r.Hash, kindReplica)
+		e.opened = now
+	case e.kind == kindHint:
+		p.table.convert(e, kindReplica)
+	}
+	e.place = r.Place
+	e.view = 0
+	e.seen = now
+	e.renewed = now - p.renewal // the first packet here tells the owner that the flow is alive
+	e.flags |= flagConfirmed
+	e.flags &^= flagPending
+	if owner, ok := p.view.owner(r.Hash); ok && owner == p.view.self && from != owner {
+		p.own(e)
+	}
+}
+
+// derivedBy tells whether a flow that this instance first relayed at a time can be
+// derived here: the owner's stream is complete up to then, held no record of the
+// flow, and rests on the same base sets.
+func (p *Picker) derivedBy(owner MemberID, since time.Duration) bool {
+	s, ok := p.streams.peers[owner]
+	return ok && since <= s.through && s.view == p.view.digest
+}
+
+// Flush publishes all exceptions regardless of their age, for a planned stop.
+func (p *Picker) Flush() {
+	for _, d := range p.streams.waiting {
+		p.streams.publish(d.hash)
+	}
+	p.streams.waiting = nil
+}
+
+// Unsynced returns how many records members have not acknowledged yet.
+func (p *Picker) Unsynced() int {
+	n := 0
+	for _, s := range p.streams.peers {
+		n += len(s.queue)
+	}
+	return n
+}
+
+// digestOf names the serving members and base sets of a view.
+func digestOf(serving []uint64, services []Service) uint64 {
+	var digest uint64
+	for _, id := range serving {
+		digest ^= ranker.Score(id, 2)
+	}
+	for _, s := range services {
+		d := ranker.Hash(s.Name)
+		for _, t := range s.Base {
+			d = ranker.Score(d, ranker.Hash(t))
+		}
+		d = ranker.Score(d, 1)
+		for _, t := range s.Next {
+			d = ranker.Score(d, ranker.Hash(t))
+		}
+		digest ^= d
+	}
+	return digest
+}
--- a/picker/table.go
+++ b/picker/table.go
@@ -19,12 +19,12 @@
 	flagClosing                     // a FIN or RST was seen
 	flagDatagram                    // UDP
 	flagSequence                    // entry.sequence is known
+	flagPending                     // the place is not known yet; the flow is relayed
 )
 
 // entry is one flow. It holds no pointers, so the collector does not scan the table.
 type entry struct {
 	hash     uint64
-	hinted   uint64        // bit set over memberBit of the instances that were sent a hint
 	seen     time.Duration // last packet or update
 	opened   time.Duration
 	renewed  time.Duration // hints: last packet that went through the owner
@@ -36,7 +36,6 @@
 	older    int32
 	kind     kind
 	flags    uint8
-	asked    uint8 // packets of the flow that others relayed, modulo 256
 }
 
 func (e *entry) has(flag uint8) bool {
--- a/picker/view.go
+++ b/picker/view.go
@@ -63,7 +63,9 @@
 	Idle    Idle
 }
 
-// Idle holds the times without a packet after which a flow is forgotten.
+// Idle holds the times without a packet after which an owner forgets a flow.
+// Closing is longer than other instances remember the flow without a packet, so that
+// a caller which uses the port again finds nobody with an older answer.
 type Idle struct {
 	Established time.Duration
 	Closing     time.Duration
@@ -75,7 +77,7 @@
 func DefaultIdle() Idle {
 	return Idle{
 		Established: time.Hour,
-		Closing:     30 * time.Second,
+		Closing:     90 * time.Second,
 		Opening:     30 * time.Second,
 		Datagram:    2 * time.Minute,
 	}
@@ -103,13 +105,16 @@
 // View is an immutable snapshot of what flow decisions rest on. Make one with
 // NewView; Picker.SetView puts it into use.
 type View struct {
-	self     MemberID
-	members  []Member
-	ids      []uint64 // of all members, self included
-	serving  []uint64 // of the members that own flows
-	services map[Address]*compiled
-	places   []place
-	byPlace  map[PlaceID]int32
+	self MemberID
+	// dataCentre is that of self.
+	dataCentre string
+	members    []Member
+	ids        []uint64 // of all members, self included
+	serving    []uint64 // of the members that own flows
+	services   map[Address]*compiled
+	places     []place
+	byPlace    map[PlaceID]int32
+	digest     uint64 // of the serving members and base sets
 }
 
 // NewView compiles a view. The members include self unless self must not own.
@@ -122,6 +127,9 @@
 	}
 	for _, m := range members {
 		v.ids = append(v.ids, uint64(m.ID))
+		if m.ID == self {
+			v.dataCentre = m.DataCentre
+		}
 		if !m.Leaving {
 			v.serving = append(v.serving, uint64(m.ID))
 		}
@@ -129,6 +137,7 @@
 	for _, s := range services {
 		v.compile(s)
 	}
+	v.digest = digestOf(v.serving, services)
 	return v
 }
 
@@ -200,27 +209,18 @@
 	return MemberID(v.serving[i]), true
 }
 
-// backup returns the member that keeps a replica of an exception: the first in
-// rank in the target's data centre, because a partition leaves the flow of use
-// only there, and without one the first in rank anywhere.
-func (v *View) backup(hash uint64, dataCentre string) (MemberID, bool) {
-	var best, local MemberID
-	var bestScore, localScore uint64
+// nearest returns the member in a data centre that ranks first for the flow.
+func (v *View) nearest(hash uint64, dataCentre string) (MemberID, bool) {
+	var best MemberID
+	var top uint64
 	for _, m := range v.members {
-		if m.ID == v.self || m.Leaving {
+		if m.ID == v.self || m.Leaving || m.DataCentre != dataCentre {
 			continue
 		}
-		s := ranker.Score(hash, uint64(m.ID))
-		if best == 0 || s > bestScore {
-			best, bestScore = m.ID, s
-		}
-		if m.DataCentre == dataCentre && (local == 0 || s > localScore) {
-			local, localScore = m.ID, s
+		if s := ranker.Score(hash, uint64(m.ID)); best == 0 || s > top {
+			best, top = m.ID, s
 		}
 	}
-	if local != 0 {
-		return local, true
-	}
 	return best, best != 0
 }
 
