picker: agree on the view before deriving, and ask lost members last

Change: a digest of the view goes with every message; ownership counts as settled once all agree; the first packet of a flow that nobody in reach knows goes to the member out of reach.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -117,7 +117,7 @@
 }
 
 // Handover gives the other members all exceptions of a leaving instance, young ones
-// included, and waits until they are acknowledged. The view must show the instance as
+// included, and waits until they are acknowledged and all know that it leaves. The view must show the instance as
 // leaving. It returns a *HandoverError when ctx ends first.
 func (f *Forwarder) Handover(ctx context.Context) error {
 	ticks, stop := f.clock.Ticker(houseEvery)
@@ -126,11 +126,12 @@
 		f.mu.Lock()
 		f.picker.Flush()
 		left := f.picker.Unsynced()
-		if left > 0 {
+		agreed := f.picker.Agreed()
+		if left > 0 || !agreed {
 			f.sync(f.now(), messenger.MaxRecords)
 		}
 		f.mu.Unlock()
-		if left == 0 {
+		if left == 0 && agreed {
 			return nil
 		}
 		select {
--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -163,8 +163,9 @@
 // kill ends an instance without warning.
 func (s *sim) kill(i int) {
 	s.instances[i].running = false
+	s.failed = s.now
 	s.at(s.now+healthLag, func() { s.instances[i].fabric = false })
-	s.spread(deathLeast, deathMost, func(b *belief) { b.members[i] = memberGone })
+	s.spread(deathLeast, deathMost, func(b *belief) { b.members[i] = memberLost })
 }
 
 // stop ends an instance as planned, in the order of the server's Stop.
@@ -300,7 +301,7 @@
 				return
 			}
 			for j, other := range s.instances {
-				one.believes.members[j] = memberGone
+				one.believes.members[j] = memberLost
 				if s.truth.members[j] != memberGone && s.reach(one.dataCentre, other.dataCentre) {
 					one.believes.members[j] = s.truth.members[j]
 				}
--- a/measurer/sim.go
+++ b/measurer/sim.go
@@ -72,6 +72,7 @@
 	lagMost time.Duration
 	loads   map[string]int // as reported a second ago
 	started time.Duration  // of measuring
+	failed  time.Duration  // when something last failed
 	samples samples
 	unfair  map[int]bool // targets left out of the balance
 }
@@ -512,6 +513,10 @@
 	default:
 		s.report.BrokenFlows++
 		s.report.BrokenBy[c.String()]++
-		s.report.oldestBroken = max(s.report.oldestBroken, s.now-f.opened)
+		at := s.now
+		if s.failed > f.opened {
+			at = s.failed // the age that matters for the replication window
+		}
+		s.report.oldestBroken = max(s.report.oldestBroken, at-f.opened)
 	}
 }
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -17,6 +17,7 @@
 	memberGone memberState = iota
 	memberServing
 	memberLeaving
+	memberLost
 )
 
 // targetState is what is true, or believed, of a target.
@@ -126,7 +127,7 @@
 		}
 		one := w.instances[i]
 		out = append(out, picker.Member{
-			ID: one.id, DataCentre: fmt.Sprintf("dc%d", one.dataCentre), Leaving: s == memberLeaving,
+			ID: one.id, DataCentre: fmt.Sprintf("dc%d", one.dataCentre), Leaving: s == memberLeaving, Lost: s == memberLost,
 		})
 	}
 	return out
--- a/picker/learn.go
+++ b/picker/learn.go
@@ -44,12 +44,12 @@
 		p.table.convert(e, kindHint)
 	}
 	if mine {
-		p.own(e)
+		p.own(now, e)
 	}
 }
 
 // own makes this instance the one that decides about the flow of the entry.
-func (p *Picker) own(e *entry) {
+func (p *Picker) own(now time.Duration, e *entry) {
 	if e.has(flagPending) {
 		return
 	}
@@ -57,7 +57,7 @@
 	if !e.has(flagClosing) {
 		p.loads[e.place]++
 	}
-	p.classify(e)
+	p.classify(now, e)
 }
 
 // SetView puts a new view into use. Where the members or the base sets differ
@@ -121,9 +121,9 @@
 	case e.has(flagPending):
 		p.table.remove(e.hash) // the next packet asks the present owner
 	case mine && e.kind != kindOwned:
-		p.own(e)
+		p.own(now, e)
 	case mine:
-		p.classify(e)
+		p.classify(now, e)
 	case e.kind == kindOwned:
 		// Its record stays in the stream until the members have it.
 		p.unload(e)
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -31,6 +31,8 @@
 	DefaultAskRate      = 20000 // questions a second
 	maxHops             = 9
 	hintIdle            = time.Minute
+	settleMost          = 30 * time.Second
+	lostPatience        = 100 * time.Millisecond
 )
 
 // Mode chooses how exceptions reach their backup.
@@ -269,7 +271,7 @@
 		return p.relay(in, owner, ReasonToOwner)
 	}
 	if e.kind != kindOwned {
-		p.own(e)
+		p.own(now, e)
 	}
 	pl := &p.view.places[e.index]
 	again := e.has(flagSequence) && e.sequence == in.Sequence
@@ -323,11 +325,11 @@
 		}
 		return p.relay(in, owner, ReasonToOwner)
 	}
-	settle := p.settle
+	settled := p.settled(now)
 	if in.Key.Protocol == parser.ProtocolUDP {
-		settle = max(settle, c.Idle.Datagram)
+		settled = settled && now-p.changed >= c.Idle.Datagram
 	}
-	if in.trail.Hops < 2 && now-p.changed < settle {
+	if in.trail.Hops < 2 && !settled {
 		if prev, ok := p.previousOwner(in); ok {
 			return p.ask(now, in, prev, 2)
 		}
@@ -369,6 +371,9 @@
 	if in.Key.Protocol == parser.ProtocolUDP && in.trail.Asker == owner && in.trail.Hops < maxHops {
 		return p.giveBack(in)
 	}
+	if in.trail.Asker == 0 && p.complete() {
+		return p.derive(now, in, c)
+	}
 	position := 0
 	if in.trail.Asker != 0 {
 		position = int(in.trail.Hops) - 1
@@ -379,9 +384,31 @@
 	if next, at, ok := p.nextToAsk(in, position); ok {
 		return p.ask(now, in, next, uint8(at+2))
 	}
+	if lost, ok := p.tryLost(now, in); ok {
+		return p.ask(now, in, lost, maxHops)
+	}
 	return p.derive(now, in, c)
 }
 
+// tryLost returns the first in rank of the members that are out of reach without
+// having left, for the first packet of a flow that no other member knows. Where the
+// partition has just healed it may know the flow; where it has not, the packet is
+// lost and the caller's retransmission is derived.
+func (p *Picker) tryLost(now time.Duration, in packetInfo) (MemberID, bool) {
+	i := ranker.Best(in.hash, p.view.lost)
+	if i < 0 || in.trail.Hops >= maxHops || in.Key.Protocol == parser.ProtocolUDP {
+		return 0, false
+	}
+	e := p.table.get(in.hash)
+	if e == nil {
+		e = p.table.put(in.hash, kindHint)
+		e.seen, e.opened = now, now
+		e.flags = flagPending
+		return MemberID(p.view.lost[i]), true
+	}
+	return MemberID(p.view.lost[i]), e.has(flagPending) && now-e.opened < lostPatience
+}
+
 // pending handles a packet from the fabric of a flow that another instance owns and
 // this one has no place for. It is relayed; once the owner's stream of exceptions is
 // complete up to the first such packet, the flow is known to be derivable.
@@ -505,7 +532,7 @@
 		e.flags |= flagDatagram
 	}
 	if k == kindOwned {
-		p.assign(e, index)
+		p.assign(now, e, index)
 	} else {
 		p.aim(e, index)
 	}
@@ -541,7 +568,7 @@
 	if e == nil {
 		e = p.insert(now, in, index)
 	} else {
-		p.assign(e, index)
+		p.assign(now, e, index)
 	}
 	e.opened = now
 	e.sequence = in.Sequence
@@ -590,10 +617,10 @@
 
 // assign places an owned flow: it counts as load, and as an exception where
 // others could not derive the place.
-func (p *Picker) assign(e *entry, index int32) {
+func (p *Picker) assign(now time.Duration, e *entry, index int32) {
 	p.aim(e, index)
 	p.loads[e.place]++
-	p.classify(e)
+	p.classify(now, e)
 }
 
 // unload takes an owned entry off the load of its place, unless the end of the
@@ -621,6 +648,9 @@
 	if in.trail.Asker == 0 || in.trail.Asker == p.view.self {
 		return d
 	}
+	if p.view.places[e.index].service.derivable(e.hash, e.place) {
+		return d // the asker will come to the same place
+	}
 	d.HintAsker = in.trail.Asker
 	if in.trail.Origin != p.view.self {
 		d.HintOrigin = in.trail.Origin
--- a/picker/stream.go
+++ b/picker/stream.go
@@ -164,19 +164,23 @@
 }
 
 // set makes the flow an exception. It is streamed once it is older than the window.
-func (s *streams) set(hash uint64, place PlaceID, opened time.Duration) {
+func (s *streams) set(now time.Duration, hash uint64, place PlaceID, opened time.Duration) {
 	old, known := s.records[hash]
 	if known && old.place == place {
 		return
 	}
 	s.records[hash] = record{place: place, streamed: old.streamed}
-	if old.streamed {
+	if old.streamed || s.aged(now, opened) {
 		s.publish(hash)
 		return
 	}
 	s.waiting = append(s.waiting, due{hash: hash, opened: opened})
 }
 
+func (s *streams) aged(now, opened time.Duration) bool {
+	return s.mode == ReplicateAtOnce || opened+s.window <= now
+}
+
 func (s *streams) publish(hash uint64) {
 	r, ok := s.records[hash]
 	if !ok {
@@ -196,26 +200,27 @@
 	}
 }
 
-// age publishes the exceptions that have become older than the window.
+// age publishes the exceptions that have become older than the window. Most come in
+// the order of their opening, but not those taken over from another owner.
 func (s *streams) age(now time.Duration) {
-	window := s.window
-	if s.mode == ReplicateAtOnce {
-		window = 0
-	}
-	n := 0
-	for n < len(s.waiting) && s.waiting[n].opened+window <= now {
-		s.publish(s.waiting[n].hash)
-		n++
+	kept := s.waiting[:0]
+	for _, d := range s.waiting {
+		if s.aged(now, d.opened) {
+			s.publish(d.hash)
+		} else {
+			kept = append(kept, d)
+		}
 	}
-	s.waiting = s.waiting[n:]
+	s.waiting = kept
 }
 
 // lag returns how far the stream is behind once all queues are empty.
 func (s *streams) lag(now time.Duration) time.Duration {
-	if len(s.waiting) == 0 {
-		return 0
+	lag := time.Duration(0)
+	for _, d := range s.waiting {
+		lag = max(lag, now-d.opened)
 	}
-	return max(0, now-s.waiting[0].opened)
+	return lag
 }
 
 // question is a flow that this owner does not know and has asked others about.
@@ -233,7 +238,7 @@
 // lag returns how far behind the stream of this instance is, or a negative value
 // while it cannot tell.
 func (p *Picker) lag(now time.Duration) time.Duration {
-	if now-p.changed < p.settle || len(p.questions) >= questionLimit {
+	if !p.settled(now) || len(p.questions) >= questionLimit {
 		return -1
 	}
 	lag := p.streams.lag(now)
@@ -250,7 +255,7 @@
 
 // classify records an owned flow as an exception, or ends the record when the flow
 // has become derivable.
-func (p *Picker) classify(e *entry) {
+func (p *Picker) classify(now time.Duration, e *entry) {
 	pl := p.placeOf(e)
 	if pl == nil {
 		return
@@ -259,7 +264,7 @@
 		p.streams.end(e.hash)
 		return
 	}
-	p.streams.set(e.hash, e.place, e.opened)
+	p.streams.set(now, e.hash, e.place, e.opened)
 }
 
 // placeOf finds the place of an entry without a packet to tell the service; nil
@@ -331,12 +336,12 @@
 	for _, r := range m.Records {
 		p.store(now, from, r)
 	}
+	s.view = m.View
 	at, known := s.sentAt(m.Echo)
 	if m.Lag < 0 || !known {
 		return
 	}
 	s.through = at - m.Lag
-	s.view = m.View
 }
 
 func (p *peer) acknowledge(sequence uint64) {
@@ -390,7 +395,7 @@
 	e.flags |= flagConfirmed
 	e.flags &^= flagPending
 	if owner, ok := p.view.owner(r.Hash); ok && owner == p.view.self && from != owner {
-		p.own(e)
+		p.own(now, e)
 	}
 }
 
@@ -402,6 +407,40 @@
 	return ok && since <= s.through && s.view == p.view.digest
 }
 
+// complete tells whether this instance, as the owner of a flow that it does not know,
+// can derive it: all members agree on the view, and their streams have brought all
+// exceptions from before they did.
+func (p *Picker) complete() bool {
+	if len(p.view.lost) > 0 || !p.Agreed() {
+		return false
+	}
+	for _, s := range p.streams.peers {
+		if s.through < p.changed {
+			return false
+		}
+	}
+	return true
+}
+
+// Agreed tells whether every member is known to hold the same view of who owns flows
+// and of the base sets.
+func (p *Picker) Agreed() bool {
+	for _, s := range p.streams.peers {
+		if s.view != p.view.digest {
+			return false
+		}
+	}
+	return true
+}
+
+// settled tells whether the last change of the membership is known everywhere, as far
+// as that can be told: until then another instance may still decide about flows of
+// this one.
+func (p *Picker) settled(now time.Duration) bool {
+	age := now - p.changed
+	return age >= settleMost || (age >= p.settle && (p.Agreed() || p.streams.mode == ReplicateNever))
+}
+
 // Flush publishes all exceptions regardless of their age, for a planned stop.
 func (p *Picker) Flush() {
 	for _, d := range p.streams.waiting {
--- a/picker/view.go
+++ b/picker/view.go
@@ -29,6 +29,7 @@
 	ID         MemberID
 	DataCentre string
 	Leaving    bool // it still answers, but owns no flow any more
+	Lost       bool // it is out of reach, but has not left
 }
 
 // Target is a target of one service as the view's author judges it.
@@ -111,6 +112,7 @@
 	members    []Member
 	ids        []uint64 // of all members, self included
 	serving    []uint64 // of the members that own flows
+	lost       []uint64 // of the members out of reach
 	services   map[Address]*compiled
 	places     []place
 	byPlace    map[PlaceID]int32
@@ -121,11 +123,15 @@
 func NewView(self MemberID, members []Member, services []Service) *View {
 	v := &View{
 		self:     self,
-		members:  members,
 		services: make(map[Address]*compiled),
 		byPlace:  make(map[PlaceID]int32),
 	}
 	for _, m := range members {
+		if m.Lost {
+			v.lost = append(v.lost, uint64(m.ID))
+			continue
+		}
+		v.members = append(v.members, m)
 		v.ids = append(v.ids, uint64(m.ID))
 		if m.ID == self {
 			v.dataCentre = m.DataCentre
--- a/server/view.go
+++ b/server/view.go
@@ -25,11 +25,11 @@
 	var out []forwarder.Member
 	for _, m := range append([]gossiper.Member{self}, w.Members...) {
 		at, err := netip.ParseAddrPort(m.Peer)
-		if err != nil || !m.Alive() || m.Group != w.Self.Group || w.Config.Retired[m.Name] {
-			continue
+		if err != nil || m.Group != w.Self.Group || w.Config.Retired[m.Name] || (!m.Alive() && !m.Serving) {
+			continue // another group's, or one that has left
 		}
 		out = append(out, forwarder.Member{
-			Member: picker.Member{ID: picker.NewMemberID(m.Name), DataCentre: m.DataCentre, Leaving: !m.Serving},
+			Member: picker.Member{ID: picker.NewMemberID(m.Name), DataCentre: m.DataCentre, Leaving: !m.Serving, Lost: !m.Alive()},
 			Name:   m.Name,
 			Peer:   at,
 		})
