picker: acknowledge records by the message that carried them first

Cause: where a member's echo was always one message old, records were sent again before their acknowledgement came, and counted as sent by the later message; the stream to that member never advanced. Change: a record keeps the number of the message that carried it first; messages always begin with what is not acknowledged.

--- a/picker/stream.go
+++ b/picker/stream.go
@@ -32,7 +32,7 @@
 // queuedRecord waits for a member's acknowledgement.
 type queuedRecord struct {
 	hash uint64
-	sent uint64 // sequence of the message that carried it last, or 0
+	sent uint64 // sequence of the message that carried it first, or 0
 }
 
 // sentMessage remembers when a message was sent.
@@ -132,12 +132,8 @@
 
 func (p *peer) enqueue(hash uint64) {
 	if p.queued[hash] {
-		for i := range p.queue {
-			if p.queue[i].hash == hash {
-				p.queue[i].sent = 0
-				return
-			}
-		}
+		// What was sent of it may be old: it counts as new again.
+		p.queue = slices.DeleteFunc(p.queue, func(q queuedRecord) bool { return q.hash == hash })
 	}
 	p.queued[hash] = true
 	p.queue = append(p.queue, queuedRecord{hash: hash})
@@ -306,13 +302,15 @@
 	s.age(now)
 	to0.sequence++
 	m := Sync{Sequence: to0.sequence, Echo: to0.echo, Lag: p.lag(now), View: p.view.digest}
-	n := min(limit, len(to0.queue))
+	n := to0.prefix(limit)
 	if n < len(to0.queue) {
 		m.Lag = -1
 	}
 	for i := range n {
 		q := &to0.queue[i]
-		q.sent = to0.sequence
+		if q.sent == 0 {
+			q.sent = to0.sequence
+		}
 		m.Records = append(m.Records, Record{Hash: q.hash, Place: s.records[q.hash].place})
 	}
 	to0.sent = append(to0.sent, sentMessage{sequence: to0.sequence, at: now})
@@ -344,6 +342,17 @@
 	s.through = at - m.Lag
 }
 
+// prefix returns how many records the next message carries: all that were sent and
+// not acknowledged, and new ones up to the limit. So every message holds whatever an
+// earlier one brought in vain, and acknowledging one acknowledges all before.
+func (p *peer) prefix(limit int) int {
+	n := min(limit, len(p.queue))
+	for n < len(p.queue) && p.queue[n].sent != 0 {
+		n++
+	}
+	return n
+}
+
 func (p *peer) acknowledge(sequence uint64) {
 	if sequence > p.sequence {
 		return // of an earlier life of this instance
