picker: ask the origin that knows, and remember nothing while views differ

Cause: traces of single flows: a packet that told a new owner of a live flow was derived though its origin knew the flow; a derived place was remembered while the sides of a healed partition still disagreed. Change: such a packet says that its origin knows; derived places are remembered only when all members agree; the packet for a lost member is tried for a second.

--- a/messenger/relay.go
+++ b/messenger/relay.go
@@ -21,7 +21,7 @@
 const RelayOverhead = parser.GeneveHeaderSize + parser.OptionHeaderSize + relaySize
 
 const (
-	relaySize = 28 // bytes: hops, 3 spare, origin, asker, MAC
+	relaySize = 28 // bytes: hops, known, 2 spare, origin, asker, MAC
 	hintSize  = 32 // bytes: flow, place, sequence, flags, 3 spare, 4 spare, MAC
 	macSize   = 8  // bytes
 )
@@ -52,6 +52,9 @@
 func (k Keys) AppendRelay(dst []byte, protocol uint16, flow uint64, t picker.Trail) []byte {
 	var data [relaySize]byte
 	data[0] = t.Hops
+	if t.Known {
+		data[1] = 1
+	}
 	binary.BigEndian.PutUint64(data[4:], uint64(t.Origin))
 	binary.BigEndian.PutUint64(data[12:], uint64(t.Asker))
 	binary.BigEndian.PutUint64(data[20:], k.mac(data[:20], flow))
@@ -70,6 +73,7 @@
 	}
 	t := picker.Trail{
 		Hops:   o.Data[0],
+		Known:  o.Data[1] == 1,
 		Origin: picker.MemberID(binary.BigEndian.Uint64(o.Data[4:])),
 		Asker:  picker.MemberID(binary.BigEndian.Uint64(o.Data[12:])),
 	}
--- a/picker/decision.go
+++ b/picker/decision.go
@@ -60,6 +60,7 @@
 	Hops   uint8
 	Origin MemberID // the instance that got the packet from the fabric
 	Asker  MemberID // the owner that did not know the flow, or 0
+	Known  bool     // Origin knows the flow and tells the owner that it is alive
 }
 
 // Hint tells other instances where a flow goes.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -32,7 +32,7 @@
 	maxHops             = 9
 	hintIdle            = time.Minute
 	settleMost          = 30 * time.Second
-	lostPatience        = 100 * time.Millisecond
+	lostPatience        = time.Second
 )
 
 // Mode chooses how exceptions reach their backup.
@@ -227,6 +227,7 @@
 		if owner, ok := p.view.owner(in.hash); ok && owner != p.view.self {
 			e.renewed = now
 			p.note(now, in, e)
+			in.trail.Known = true
 			return p.relay(in, owner, ReasonRenewal)
 		}
 	}
@@ -371,7 +372,16 @@
 	if in.Key.Protocol == parser.ProtocolUDP && in.trail.Asker == owner && in.trail.Hops < maxHops {
 		return p.giveBack(in)
 	}
-	if in.trail.Asker == 0 && p.complete() {
+	if in.trail.Hops >= maxHops {
+		return Decision{Reason: ReasonHops} // the caller will send it again
+	}
+	if in.trail.Asker == 0 && in.trail.Known && p.view.alive(in.trail.Origin) {
+		return p.ask(now, in, in.trail.Origin, 2)
+	}
+	if in.trail.Asker == 0 && p.complete(now) {
+		if lost, ok := p.tryLost(now, in); ok {
+			return p.ask(now, in, lost, maxHops)
+		}
 		return p.derive(now, in, c)
 	}
 	position := 0
@@ -507,6 +517,10 @@
 		return Decision{Verdict: Refuse, Reason: ReasonNoTarget}
 	}
 	p.counters.Derived++
+	if !p.complete(now) {
+		// Another instance may yet turn out to know better: nothing is remembered.
+		return Decision{Verdict: Forward, Reason: ReasonDerived, Endpoint: p.view.places[index].target.Endpoint}
+	}
 	e := p.insert(now, in, index)
 	e.flags |= flagConfirmed
 	d := p.forward(in, e, ReasonDerived)
--- a/picker/stream.go
+++ b/picker/stream.go
@@ -419,8 +419,8 @@
 // complete tells whether this instance, as the owner of a flow that it does not know,
 // can derive it: all members agree on the view, and their streams have brought all
 // exceptions from before they did.
-func (p *Picker) complete() bool {
-	if len(p.view.lost) > 0 || !p.Agreed() {
+func (p *Picker) complete(now time.Duration) bool {
+	if !p.settled(now) || !p.Agreed() {
 		return false
 	}
 	for _, s := range p.streams.peers {
