picker: derive unknown flows from the base sets of the last change of owners

Cause: a flow that its new owner had not seen broke when the base set moved on; questions skipped a member when the members along the way held different views. Change: unknown flows are derived from the base sets that were in force when the ownership last changed; a question carries which members it has reached.

--- a/messenger/relay.go
+++ b/messenger/relay.go
@@ -21,7 +21,7 @@
 const RelayOverhead = parser.GeneveHeaderSize + parser.OptionHeaderSize + relaySize
 
 const (
-	relaySize = 28 // bytes: hops, known, 2 spare, origin, asker, MAC
+	relaySize = 36 // bytes: hops, known, 2 spare, origin, asker, asked, MAC
 	hintSize  = 32 // bytes: flow, place, sequence, flags, 3 spare, 4 spare, MAC
 	macSize   = 8  // bytes
 )
@@ -57,7 +57,8 @@
 	}
 	binary.BigEndian.PutUint64(data[4:], uint64(t.Origin))
 	binary.BigEndian.PutUint64(data[12:], uint64(t.Asker))
-	binary.BigEndian.PutUint64(data[20:], k.mac(data[:20], flow))
+	binary.BigEndian.PutUint64(data[20:], t.Asked)
+	binary.BigEndian.PutUint64(data[28:], k.mac(data[:28], flow))
 	return parser.AppendGeneve(dst, false, protocol, 0, parser.Option{Class: OptionClass, Type: OptionRelay, Data: data[:]})
 }
 
@@ -68,7 +69,7 @@
 	if !ok || len(o.Data) != relaySize {
 		return picker.Trail{}, FaultNoOption
 	}
-	if binary.BigEndian.Uint64(o.Data[20:]) != k.mac(o.Data[:20], flow) {
+	if binary.BigEndian.Uint64(o.Data[28:]) != k.mac(o.Data[:28], flow) {
 		return picker.Trail{}, FaultForged
 	}
 	t := picker.Trail{
@@ -76,6 +77,7 @@
 		Known:  o.Data[1] == 1,
 		Origin: picker.MemberID(binary.BigEndian.Uint64(o.Data[4:])),
 		Asker:  picker.MemberID(binary.BigEndian.Uint64(o.Data[12:])),
+		Asked:  binary.BigEndian.Uint64(o.Data[20:]),
 	}
 	if t.Hops == 0 {
 		return picker.Trail{}, FaultHops
--- a/picker/decision.go
+++ b/picker/decision.go
@@ -60,6 +60,7 @@
 	Hops   uint8
 	Origin MemberID // the instance that got the packet from the fabric
 	Asker  MemberID // the owner that did not know the flow, or 0
+	Asked  uint64   // a bit for each member that the question has reached
 	Known  bool     // Origin knows the flow and tells the owner that it is alive
 }
 
@@ -96,6 +97,12 @@
 	trail Trail
 }
 
+// memberBit returns the bit of a member in Trail.Asked. Two members may share one; a
+// question then reaches only one of them.
+func memberBit(id MemberID) uint64 {
+	return 1 << (uint64(id) & 63)
+}
+
 // Reasons returns every reason, for metrics that are registered ahead.
 func Reasons() []Reason {
 	all := make([]Reason, 0, reasonCount)
--- a/picker/learn.go
+++ b/picker/learn.go
@@ -70,6 +70,7 @@
 	p.streams.setMembers(v.self, v.members)
 	if !slices.Equal(old.serving, v.serving) {
 		p.changed = now
+		p.origin = v
 		p.previous = p.stillAlive(old)
 	}
 	if slices.Equal(old.members, v.members) && sameBases(old, v) {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -29,7 +29,7 @@
 	DefaultSettle       = 3 * time.Second
 	DefaultRenewal      = time.Minute
 	DefaultAskRate      = 20000 // questions a second
-	maxHops             = 9
+	maxHops             = 20
 	hintIdle            = time.Minute
 	settleMost          = 30 * time.Second
 	lostPatience        = time.Second
@@ -48,6 +48,7 @@
 // Picker holds the flows of one instance.
 type Picker struct {
 	view       *View
+	origin     *View    // at the last change of who owns flows
 	previous   []uint64 // who owned flows before the last change, as far as alive
 	changed    time.Duration
 	generation uint32
@@ -126,6 +127,7 @@
 		streams:    newStreams(ReplicateWindow, DefaultWindow),
 	}
 	p.table = newTable(DefaultOwnedLimit, DefaultHintLimit, DefaultReplicaLimit, p.evicted)
+	p.origin = p.view
 	for _, o := range opts {
 		o(p)
 	}
@@ -384,15 +386,12 @@
 		}
 		return p.derive(now, in, c)
 	}
-	position := 0
-	if in.trail.Asker != 0 {
-		position = int(in.trail.Hops) - 1
-	} else if !p.mayAsk(now) {
+	if in.trail.Asker == 0 && !p.mayAsk(now) {
 		p.counters.AskLimited++
 		return p.derive(now, in, c)
 	}
-	if next, at, ok := p.nextToAsk(in, position); ok {
-		return p.ask(now, in, next, uint8(at+2))
+	if next, ok := p.nextToAsk(in); ok {
+		return p.ask(now, in, next, max(2, in.trail.Hops+1))
 	}
 	if lost, ok := p.tryLost(now, in); ok {
 		return p.ask(now, in, lost, maxHops)
@@ -446,28 +445,28 @@
 	return p.relay(in, owner, ReasonToOwner)
 }
 
-// nextToAsk returns the next member of the question's order and its position in
-// it. The order is by rank, without the asker and the origin, who do not know.
-func (p *Picker) nextToAsk(in packetInfo, position int) (MemberID, int, bool) {
-	asker := in.trail.Asker
-	if asker == 0 {
-		asker = p.view.self
+// nextToAsk returns the first in rank of the members that the question has not
+// reached. The asker and the origin do not know.
+func (p *Picker) nextToAsk(in packetInfo) (MemberID, bool) {
+	if in.trail.Hops+1 >= maxHops {
+		return 0, false
+	}
+	asked := in.trail.Asked | memberBit(p.view.self) | memberBit(in.trail.Asker)
+	if in.trail.Hops > 0 {
+		asked |= memberBit(in.trail.Origin)
 	}
-	var space [maxHops + 3]int
-	order := ranker.Order(space[:0], in.hash, p.view.ids, len(space))
-	at := -1
-	for _, i := range order {
-		id := MemberID(p.view.ids[i])
-		if id == asker || (id == in.trail.Origin && in.trail.Hops > 0) {
+	var best MemberID
+	var top uint64
+	for _, node := range p.view.ids {
+		id := MemberID(node)
+		if asked&memberBit(id) != 0 {
 			continue
 		}
-		at++
-		if at < position || id == p.view.self {
-			continue
+		if s := ranker.Score(in.hash, node); best == 0 || s > top {
+			best, top = id, s
 		}
-		return id, at, at+2 <= maxHops
 	}
-	return 0, 0, false
+	return best, best != 0
 }
 
 // mayAsk spends one question from the budget. Packets of no flow at all would
@@ -498,6 +497,7 @@
 		}
 	}
 	t.Hops = hops
+	t.Asked |= memberBit(p.view.self) | memberBit(to)
 	return Decision{Verdict: Relay, Reason: ReasonAsk, To: to, Trail: t}
 }
 
@@ -512,7 +512,7 @@
 
 // derive sends the packet of a flow that nobody knows where the base set says.
 func (p *Picker) derive(now time.Duration, in packetInfo, c *compiled) Decision {
-	index := c.fallback(in.hash)
+	index := p.fallback(c, in.hash)
 	if index < 0 {
 		return Decision{Verdict: Refuse, Reason: ReasonNoTarget}
 	}
@@ -530,6 +530,20 @@
 	return d
 }
 
+// fallback returns the index of the place that a flow which its owner does not know
+// has by the base set, or -1. Such a flow was opened before the last change of
+// ownership, so the base sets of that time count, not those they have moved to since.
+func (p *Picker) fallback(c *compiled, hash uint64) int32 {
+	if old := p.origin.services[c.key]; old != nil {
+		if i := ranker.Best(hash, old.base); i >= 0 {
+			if index, ok := c.byID[old.baseID[i]]; ok {
+				return index
+			}
+		}
+	}
+	return c.fallback(hash)
+}
+
 // insert puts a flow into the table: owned where this instance is the owner,
 // otherwise as a hint. The flow must not be in the table with a valid place.
 func (p *Picker) insert(now time.Duration, in packetInfo, index int32) *entry {
--- a/picker/view.go
+++ b/picker/view.go
@@ -94,6 +94,7 @@
 // compiled is a service with its rankings prepared.
 type compiled struct {
 	Service
+	key      Address  // one of the service's addresses
 	fit      []uint64 // place identities that take new flows
 	fitIndex []int32
 	base     []uint64
@@ -163,6 +164,7 @@
 	c.base, c.baseID = ranked(s.Name, s.Base)
 	c.next, c.nextID = ranked(s.Name, s.Next)
 	for _, a := range s.Addresses {
+		c.key = a
 		v.services[a] = c
 	}
 }
