--- a/picker/picker.go
+++ b/picker/picker.go
@@ -517,7 +517,7 @@
 		return Decision{Verdict: Refuse, Reason: ReasonNoTarget}
 	}
 	p.counters.Derived++
-	if !p.complete(now) {
+	if !p.complete(now) || p.view.places[index].target.Dead {
 		// Another instance may yet turn out to know better: nothing is remembered.
 		return Decision{Verdict: Forward, Reason: ReasonDerived, Endpoint: p.view.places[index].target.Endpoint}
 	}
--- a/picker/stream.go
+++ b/picker/stream.go
@@ -131,17 +131,28 @@
 }
 
 func (p *peer) enqueue(hash uint64) {
-	if p.queued[hash] {
-		// What was sent of it may be old: it counts as new again.
-		p.queue = slices.DeleteFunc(p.queue, func(q queuedRecord) bool { return q.hash == hash })
-	}
+	p.dequeue(hash) // what was sent of it may be old: it counts as new again
 	p.queued[hash] = true
 	p.queue = append(p.queue, queuedRecord{hash: hash})
 }
 
+func (p *peer) dequeue(hash uint64) {
+	if !p.queued[hash] {
+		return
+	}
+	delete(p.queued, hash)
+	p.queue = slices.DeleteFunc(p.queue, func(q queuedRecord) bool { return q.hash == hash })
+}
+
 // forget drops a record without telling anyone: another owner speaks of the flow now.
 func (s *streams) forget(hash uint64) {
+	if _, ok := s.records[hash]; !ok {
+		return
+	}
 	delete(s.records, hash)
+	for _, p := range s.peers {
+		p.dequeue(hash)
+	}
 }
 
 // end drops a record and tells the members that were sent it.
