picker: a straight path for the packets of known flows

Cause: 170 to 185 ns a packet of a known flow, asked are under 100; the profile showed the hash of 37 bytes and the copying of packets and decisions. Change: IPv4 keys are hashed in 13 bytes; packets are passed by pointer; what only has to be forwarded leaves before the general decision.

--- a/forwarder/loop.go
+++ b/forwarder/loop.go
@@ -123,7 +123,7 @@
 		l.tooBig(g, pkt)
 		return
 	}
-	d := l.f.picker.Packet(now, pkt)
+	d := l.f.picker.Packet(now, &pkt)
 	l.carryOut(buffer, n, g, pkt, d)
 }
 
@@ -154,7 +154,7 @@
 		return
 	}
 	l.f.counters.RelayedIn.Add(1)
-	d := l.f.picker.Relayed(now, pkt, trail)
+	d := l.f.picker.Relayed(now, &pkt, trail)
 	l.carryOut(buffer, n, g, pkt, d)
 }
 
--- a/measurer/policy.go
+++ b/measurer/policy.go
@@ -29,8 +29,8 @@
 
 // decider is what one instance decides with.
 type decider interface {
-	Packet(now time.Duration, p parser.Packet) picker.Decision
-	Relayed(now time.Duration, p parser.Packet, t picker.Trail) picker.Decision
+	Packet(now time.Duration, p *parser.Packet) picker.Decision
+	Relayed(now time.Duration, p *parser.Packet, t picker.Trail) picker.Decision
 	Learn(now time.Duration, h picker.Hint)
 	TakeSync(now time.Duration, from picker.MemberID, m picker.Sync)
 	SetView(now time.Duration, v *picker.View)
@@ -87,7 +87,7 @@
 }
 
 // Packet implements decider.
-func (b *baseline) Packet(_ time.Duration, p parser.Packet) picker.Decision {
+func (b *baseline) Packet(_ time.Duration, p *parser.Packet) picker.Decision {
 	s := b.service(p.Key)
 	if s == nil {
 		return picker.Decision{Reason: picker.ReasonNoAddress}
@@ -131,7 +131,7 @@
 }
 
 // Relayed implements decider.
-func (b *baseline) Relayed(now time.Duration, p parser.Packet, _ picker.Trail) picker.Decision {
+func (b *baseline) Relayed(now time.Duration, p *parser.Packet, _ picker.Trail) picker.Decision {
 	return b.Packet(now, p)
 }
 
--- a/measurer/sim.go
+++ b/measurer/sim.go
@@ -296,11 +296,12 @@
 		return
 	}
 	var d picker.Decision
+	p := s.packetOf(e)
 	if e.kind == evArrive {
 		s.report.packets++
-		d = one.decider.Packet(s.now, s.packetOf(e))
+		d = one.decider.Packet(s.now, &p)
 	} else {
-		d = one.decider.Relayed(s.now, s.packetOf(e), e.trail)
+		d = one.decider.Relayed(s.now, &p, e.trail)
 	}
 	switch d.Verdict {
 	case picker.Forward:
--- a/parser/inner.go
+++ b/parser/inner.go
@@ -51,8 +51,18 @@
 // Hash returns the identity of the flow under a secret seed. With 64 bits two of
 // a million open flows share one with a probability of 3 in 100 million; the seed
 // keeps callers from constructing such a pair.
-func (k Key) Hash(seed Seed) uint64 {
+//
+// IPv4 keys are hashed in their short form, which takes two rounds in place of five.
+func (k *Key) Hash(seed Seed) uint64 {
 	var b [37]byte
+	if k.Caller[10] == 0xff && isMapped(&k.Caller) && isMapped(&k.Address) {
+		copy(b[0:4], k.Caller[12:])
+		copy(b[4:8], k.Address[12:])
+		binary.BigEndian.PutUint16(b[8:], k.CallerPort)
+		binary.BigEndian.PutUint16(b[10:], k.AddressPort)
+		b[12] = k.Protocol
+		return siphash.Hash(seed.K0, seed.K1, b[:13])
+	}
 	copy(b[0:16], k.Caller[:])
 	copy(b[16:32], k.Address[:])
 	binary.BigEndian.PutUint16(b[32:], k.CallerPort)
@@ -61,6 +71,11 @@
 	return siphash.Hash(seed.K0, seed.K1, b[:])
 }
 
+// isMapped tells whether a is an IPv4 address in IPv6-mapped form.
+func isMapped(a *[16]byte) bool {
+	return binary.BigEndian.Uint64(a[:]) == 0 && binary.BigEndian.Uint32(a[8:]) == 0xffff
+}
+
 // Seed is the secret half of the flow identity; all instances of a group share it.
 type Seed struct {
 	K0, K1 uint64
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -168,13 +168,28 @@
 }
 
 // Packet decides about a packet from the fabric.
-func (p *Picker) Packet(now time.Duration, pkt parser.Packet) Decision {
-	return p.decide(now, packetInfo{Packet: pkt, hash: pkt.Key.Hash(p.seed)})
+func (p *Picker) Packet(now time.Duration, pkt *parser.Packet) Decision {
+	hash := pkt.Key.Hash(p.seed)
+	if e := p.table.get(hash); e != nil && p.straight(now, pkt, e) {
+		p.table.touch(e, now)
+		return Decision{Verdict: Forward, Reason: ReasonKnown, Endpoint: p.view.places[e.index].target.Endpoint}
+	}
+	return p.decide(now, packetInfo{Packet: *pkt, hash: hash})
+}
+
+// straight tells whether a packet needs nothing but to be forwarded, as nearly all do:
+// the flow is under way and neither begins nor ends, its place is of the present view,
+// and the owner need not be told that it is alive.
+func (p *Picker) straight(now time.Duration, pkt *parser.Packet, e *entry) bool {
+	if pkt.Opening || pkt.Closing || e.view != p.generation || e.index < 0 || !e.has(flagConfirmed) {
+		return false
+	}
+	return e.kind == kindOwned || now-e.renewed < p.renewal
 }
 
 // Relayed decides about a packet that another instance passed on.
-func (p *Picker) Relayed(now time.Duration, pkt parser.Packet, t Trail) Decision {
-	return p.decide(now, packetInfo{Packet: pkt, hash: pkt.Key.Hash(p.seed), trail: t})
+func (p *Picker) Relayed(now time.Duration, pkt *parser.Packet, t Trail) Decision {
+	return p.decide(now, packetInfo{Packet: *pkt, hash: pkt.Key.Hash(p.seed), trail: t})
 }
 
 func (p *Picker) decide(now time.Duration, in packetInfo) Decision {
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -83,7 +83,7 @@
 // hand gives a packet to a member and carries relays and hints until it ends. It
 // returns the last decision and the number of relays.
 func (g *group) hand(at MemberID, p parser.Packet) (Decision, int) {
-	d := g.pickers[at].Packet(g.now, p)
+	d := g.pickers[at].Packet(g.now, &p)
 	relays := 0
 	for d.Verdict == Relay {
 		relays++
@@ -91,7 +91,7 @@
 			return d, relays // lost with the instance
 		}
 		at = d.To
-		d = g.pickers[at].Relayed(g.now, p, d.Trail)
+		d = g.pickers[at].Relayed(g.now, &p, d.Trail)
 	}
 	g.hint(d.HintOrigin, d.Hint, d.HintOrigin == d.HintAsker)
 	g.hint(d.HintAsker, d.Hint, true)
@@ -331,8 +331,8 @@
 	fin := data(1)
 	fin.Closing = true
 	g.hand(g.ids[1], fin)
-	late := g.ids[2]
-	g.pickers[late].Learn(g.now, Hint{Hash: key(1).Hash(parser.Seed{K0: 1, K1: 2}), Place: d.Hint.Place})
+	late, ended := g.ids[2], key(1)
+	g.pickers[late].Learn(g.now, Hint{Hash: ended.Hash(parser.Seed{K0: 1, K1: 2}), Place: d.Hint.Place})
 	g.now += 2 * hintIdle
 	for range 64 {
 		g.pickers[late].Tick(g.now)
@@ -450,14 +450,15 @@
 	p := g.pickers[g.ids[0]]
 	var packets []parser.Packet
 	for i := range flows {
-		if d := p.Packet(g.now, syn(i)); d.Verdict == Forward {
+		open := syn(i)
+		if d := p.Packet(g.now, &open); d.Verdict == Forward {
 			packets = append(packets, data(i))
 		}
 	}
 	b.ReportAllocs()
 	i := 0
 	for b.Loop() {
-		p.Packet(g.now, packets[i%len(packets)])
+		p.Packet(g.now, &packets[i%len(packets)])
 		i++
 	}
 }
