--- a/cmd/almondpick/main.go
+++ b/cmd/almondpick/main.go
@@ -14,7 +14,12 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&versionCommand{}, "")
 	subcommands.Register(&serveCommand{}, "instances")
+	subcommands.Register(&keysCommand{}, "instances")
+	for _, c := range operatorCommands() {
+		subcommands.Register(c, "operating")
+	}
 	subcommands.Register(&demoCommand{}, "trying it")
+	subcommands.Register(&loadCommand{}, "trying it")
 	subcommands.Register(&measureCommand{}, "trying it")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- /dev/null
+++ b/loader/run.go
@@ -0,0 +1,118 @@
+package loader
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// RunSettings describe one load on a running deployment.
+type RunSettings struct {
+	Entries     []Entry
+	Service     string
+	Job         string
+	Address     netip.AddrPort
+	Targets     int
+	Slots       int
+	Work        time.Duration
+	FlowRate    float64
+	FlowLength  time.Duration
+	FlowPause   time.Duration
+	RequestRate float64
+	Resend      float64
+	Duration    time.Duration
+}
+
+const (
+	progressEvery = 5 * time.Second
+	finishTime    = 30 * time.Second
+	settleTime    = 4 * time.Second // until the targets are known everywhere
+)
+
+// Run puts load on a running deployment and returns what the stand-ins saw.
+func Run(set RunSettings, clock Clock, log *slog.Logger) (Report, error) {
+	ledger := NewLedger()
+	callers, err := ListenCallers()
+	if err != nil {
+		return Report{}, err
+	}
+	targets, err := startTargets(set, callers, clock, ledger)
+	if err != nil {
+		return Report{}, errors.Join(err, callers.Close())
+	}
+	wait(clock, settleTime, nil)
+	flows := NewFlows(FlowSettings{
+		Services: []netip.AddrPort{set.Address}, Rate: set.FlowRate, Length: set.FlowLength, Pause: set.FlowPause,
+	}, clock, ledger, callers)
+	fabric, err := NewFabric(set.Entries, clock, flows.Deliver)
+	if err != nil {
+		return Report{}, errors.Join(err, callers.Close())
+	}
+	flows.Start(fabric)
+	requests := NewRequests(RequestSettings{Services: []string{set.Service}, Rate: set.RequestRate, Resend: set.Resend}, clock, ledger, fabric)
+	done := make(chan struct{})
+	go Watch(clock, ledger, func() [][]*Target { return [][]*Target{targets} }, done)
+	wait(clock, set.Duration, func() { log.Info("load-progress", "report", ledger.Report().Line()) })
+	err = requests.Close()
+	flows.Finish(finishTime)
+	close(done)
+	err = errors.Join(err, fabric.Close(), flows.Close())
+	for _, t := range targets {
+		err = errors.Join(err, t.Close())
+	}
+	return ledger.Report(), err
+}
+
+func startTargets(set RunSettings, callers *net.UDPConn, clock Clock, ledger *Ledger) ([]*Target, error) {
+	var targets []*Target
+	status := make([]string, 0, len(set.Entries))
+	for _, e := range set.Entries {
+		status = append(status, e.Status)
+	}
+	for range set.Targets {
+		t, err := NewTarget(TargetSettings{
+			Job: set.Job, Service: set.Service, Addresses: []string{set.Address.String()}, DataCentre: "dc1", Slots: set.Slots,
+			Work: set.Work, Callers: callers.LocalAddr().(*net.UDPAddr).AddrPort(), Status: status,
+		}, clock, ledger)
+		if err != nil {
+			return targets, err
+		}
+		targets = append(targets, t)
+	}
+	return targets, nil
+}
+
+// wait lets time pass and calls progress now and then.
+func wait(clock Clock, d time.Duration, progress func()) {
+	ticks, stop := clock.Ticker(min(d, progressEvery))
+	defer stop()
+	for end := clock.Now().Add(d); clock.Now().Before(end); {
+		<-ticks
+		if progress != nil {
+			progress()
+		}
+	}
+}
+
+// Plot draws the imbalance over time into a file.
+func Plot(file string, r Report) error {
+	p := plot.New()
+	p.Title.Text = "imbalance of open flows, largest over mean"
+	points := make(plotter.XYs, 0, len(r.Balance))
+	for i, b := range r.Balance {
+		points = append(points, plotter.XY{X: float64(i) * balanceEvery.Seconds(), Y: b})
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return eris.Wrap(err, "draw line")
+	}
+	p.Add(line)
+	return eris.Wrap(p.Save(20*vg.Centimeter, 10*vg.Centimeter, file), "save plot")
+}
--- a/measurer/policy.go
+++ b/measurer/policy.go
@@ -43,7 +43,7 @@
 }
 
 // newDecider returns the decider of an instance under a policy.
-func newDecider(p Policy, seed uint64, window time.Duration, services []picker.Service, loads func(string) int) decider {
+func newDecider(p Policy, seed uint64, window time.Duration, loads func(string) int) decider {
 	s := picker.WithSeed(parser.Seed{K0: seed, K1: seed + 1})
 	switch p {
 	case NoReplication:
--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -298,29 +298,37 @@
 			if one.life != life {
 				return
 			}
-			for j, other := range s.instances {
-				one.believes.members[j] = memberLost
-				if s.truth.members[j] != memberGone && s.reach(one.dataCentre, other.dataCentre) {
-					one.believes.members[j] = s.truth.members[j]
-				}
-			}
+			s.seeMembers(one)
 			s.refresh(i)
 		})
 		s.at(s.now+s.between(targetLeast, targetMost), func() {
 			if one.life != life {
 				return
 			}
-			for j, t := range s.targets {
-				one.believes.targets[j] = s.truth.targets[j]
-				if s.truth.targets[j] == targetServing && !s.reach(one.dataCentre, t.dataCentre) {
-					one.believes.targets[j] = targetLost
-				}
-			}
+			s.seeTargets(one)
 			s.refresh(i)
 		})
 	}
 }
 
+func (s *sim) seeMembers(one *instance) {
+	for j, other := range s.instances {
+		one.believes.members[j] = memberLost
+		if s.truth.members[j] != memberGone && s.reach(one.dataCentre, other.dataCentre) {
+			one.believes.members[j] = s.truth.members[j]
+		}
+	}
+}
+
+func (s *sim) seeTargets(one *instance) {
+	for j, t := range s.targets {
+		one.believes.targets[j] = s.truth.targets[j]
+		if s.truth.targets[j] == targetServing && !s.reach(one.dataCentre, t.dataCentre) {
+			one.believes.targets[j] = targetLost
+		}
+	}
+}
+
 // playSecondLoss loses a second instance right after the first one's flows have found
 // new owners.
 func playSecondLoss(s *sim) {
--- a/measurer/sim.go
+++ b/measurer/sim.go
@@ -124,7 +124,7 @@
 	one.running = true
 	one.fabric = true
 	one.believes = s.truth.clone()
-	one.decider = newDecider(s.policy, s.set.Seed, s.set.Window, nil, func(t string) int { return s.loads[t] })
+	one.decider = newDecider(s.policy, s.set.Seed, s.set.Window, func(t string) int { return s.loads[t] })
 	s.refresh(i)
 	e := s.queue.add(s.now+time.Duration(s.random.Int64N(int64(tickEvery))), evTick)
 	e.who, e.tries = int32(i), uint8(one.life)
@@ -396,15 +396,14 @@
 }
 
 // message delivers something to another instance if it can be reached.
-func (s *sim) message(one *instance, to picker.MemberID, k kind, fill func(*event)) bool {
+func (s *sim) message(one *instance, to picker.MemberID, k kind, fill func(*event)) {
 	i, ok := s.find(to)
 	if !ok || !s.reach(one.dataCentre, s.instances[i].dataCentre) || s.lossy() {
-		return false
+		return
 	}
 	e := s.queue.add(s.now+s.size.Between, k)
 	e.who = int32(i)
 	fill(e)
-	return true
 }
 
 func (s *sim) spend(one *instance, bytes float64) {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -392,18 +392,10 @@
 	if in.trail.Hops >= maxHops {
 		return Decision{Reason: ReasonHops} // the caller will send it again
 	}
-	if in.trail.Asker == 0 && in.trail.Known && p.view.alive(in.trail.Origin) {
-		return p.ask(now, in, in.trail.Origin, 2)
-	}
-	if in.trail.Asker == 0 && p.complete(now) {
-		if lost, ok := p.tryLost(now, in); ok {
-			return p.ask(now, in, lost, maxHops)
+	if in.trail.Asker == 0 {
+		if d, ok := p.withoutOthers(now, in, c); ok {
+			return d
 		}
-		return p.derive(now, in, c)
-	}
-	if in.trail.Asker == 0 && !p.mayAsk(now) {
-		p.counters.AskLimited++
-		return p.derive(now, in, c)
 	}
 	if next, ok := p.nextToAsk(in); ok {
 		return p.ask(now, in, next, max(2, in.trail.Hops+1))
@@ -414,6 +406,26 @@
 	return p.derive(now, in, c)
 }
 
+// withoutOthers is what an owner decides about a flow that it does not know, where it
+// need not ask all others: the origin knows the flow; or the streams are complete, so
+// that only a member out of reach can know more; or the budget for questions is spent.
+func (p *Picker) withoutOthers(now time.Duration, in packetInfo, c *compiled) (Decision, bool) {
+	if in.trail.Known && p.view.alive(in.trail.Origin) {
+		return p.ask(now, in, in.trail.Origin, 2), true
+	}
+	if p.complete(now) {
+		if lost, ok := p.tryLost(now, in); ok {
+			return p.ask(now, in, lost, maxHops), true
+		}
+		return p.derive(now, in, c), true
+	}
+	if !p.mayAsk(now) {
+		p.counters.AskLimited++
+		return p.derive(now, in, c), true
+	}
+	return Decision{}, false
+}
+
 // tryLost returns the first in rank of the members that are out of reach without
 // having left, for the first packet of a flow that no other member knows. Where the
 // partition has just healed it may know the flow; where it has not, the packet is
