measurer: slot scenarios beside an ideal queue, and three ways to share slots

Cause: the way slots are shared had been chosen without figures. Change: virtual-time scenarios for slots; slot credits, two choices by lagging reports, round robin and least reported load as baselines.

--- a/cmd/almondpick/measure.go
+++ b/cmd/almondpick/measure.go
@@ -83,7 +83,7 @@
 		return []measurer.Report{first}, err
 	}
 	reports := []measurer.Report{first}
-	for _, p := range measurer.Policies() {
+	for _, p := range measurer.Baselines(c.set.Scenario) {
 		if p == c.set.Policy {
 			continue
 		}
@@ -108,6 +108,10 @@
 		return encoder.Encode(reports)
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	if strings.HasPrefix(c.set.Scenario, "slots-") {
+		printSlots(w, reports)
+		return w.Flush()
+	}
 	fmt.Fprintln(w, "policy\tflows\tbroken\tby\toldest s\twith target\tcut off\tmisrouted\trefused\tmax/mean\tcv\trelayed\texceptions\tcontrol B/s\ttracked")
 	for _, r := range reports {
 		fmt.Fprintf(w, "%s\t%d\t%d (%.4f%%)\t%v\t%.2f\t%d\t%d\t%d\t%d\t%.4f\t%.4f\t%.3f\t%.4f\t%.0f\t%.0f\n",
@@ -116,3 +120,11 @@
 	}
 	return w.Flush()
 }
+
+func printSlots(w *tabwriter.Writer, reports []measurer.Report) {
+	fmt.Fprintln(w, "policy\twait p99 ms\tideal ms\tratio\trefused\twork max/mean\tgoodput\textra work")
+	for _, r := range reports {
+		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.2f\t%d\t%.3f\t%.3f\t%.3f\n", r.Policy, r.WaitP99MS, r.IdealWaitP99,
+			r.WaitP99MS/max(r.IdealWaitP99, 0.001), r.RefusedWork, r.WorkMaxMean, r.Goodput, r.ExtraWork)
+	}
+}
--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"almondpick/messenger"
@@ -48,6 +49,9 @@
 	for _, s := range flowScenarios() {
 		names = append(names, s.name)
 	}
+	for _, s := range slotScenarios() {
+		names = append(names, s.name)
+	}
 	return names
 }
 
@@ -75,11 +79,6 @@
 
 // Run plays a scenario through. It returns an *UnknownError.
 func Run(set Settings) (Report, error) {
-	scenarios := flowScenarios()
-	i := slices.IndexFunc(scenarios, func(s scenario) bool { return s.name == set.Scenario })
-	if i < 0 {
-		return Report{}, &UnknownError{What: "scenario", Name: set.Scenario, Allowed: Scenarios()}
-	}
 	if set.Deployment == "" {
 		set.Deployment = CsendesAsztal
 	}
@@ -91,10 +90,30 @@
 	if j < 0 {
 		return Report{}, &UnknownError{What: "deployment", Name: set.Deployment}
 	}
-	if !slices.Contains(Policies(), set.Policy) {
-		return Report{}, &UnknownError{What: "policy", Name: string(set.Policy)}
+	set = set.withDefaults()
+	for _, c := range slotScenarios() {
+		if c.name == set.Scenario {
+			return runSlots(set, c, deployments[j])
+		}
+	}
+	for _, c := range flowScenarios() {
+		if c.name != set.Scenario {
+			continue
+		}
+		if !slices.Contains(Policies(), set.Policy) {
+			return Report{}, &UnknownError{What: "policy", Name: string(set.Policy)}
+		}
+		return play(set, c, deployments[j]), nil
+	}
+	return Report{}, &UnknownError{What: "scenario", Name: set.Scenario, Allowed: Scenarios()}
+}
+
+// Baselines lists the policies that a scenario can be compared with.
+func Baselines(scenario string) []Policy {
+	if strings.HasPrefix(scenario, "slots-") {
+		return SlotPolicies()
 	}
-	return play(set.withDefaults(), scenarios[i], deployments[j]), nil
+	return Policies()
 }
 
 func (s Settings) withDefaults() Settings {
