dispatcher: estimate the wait of each tenant by its own queue

Cause: the estimate counted all waiting work, so a tenant that floods had the others refused early. Change: a tenant's wait is its own queue times the tenants that are served in turn.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -190,7 +190,7 @@
 			return Started, p.start(t, w)
 		}
 	}
-	if p.waiting >= maxQueue || now+p.wait(now) > w.Deadline {
+	if p.queueOf(w.Tenant) >= maxQueue || now+p.Wait(now, w.Tenant) > w.Deadline {
 		p.stats.Refused++
 		return Refused, Start{}
 	}
@@ -198,8 +198,10 @@
 	return Queued, Start{}
 }
 
-// wait estimates how long work that comes now would wait.
-func (p *Pool) wait(now time.Duration) time.Duration {
+// Wait estimates how long new work of a tenant would wait, for a Retry-After. Tenants
+// are served in turn, so only the tenant's own queue counts, once for each tenant that
+// has work waiting.
+func (p *Pool) Wait(now time.Duration, tenant string) time.Duration {
 	slots := 0
 	for _, t := range p.targets {
 		if t.Fit {
@@ -209,12 +211,23 @@
 	if slots == 0 {
 		return 0 // unknown: a target may come back before the deadline
 	}
-	return time.Duration(p.mean * float64(p.waiting) / float64(slots) * float64(time.Second))
+	own := p.queueOf(tenant)
+	tenants := len(p.queues)
+	if own == 0 {
+		tenants++
+	}
+	ahead := min(own*tenants, p.waiting)
+	return time.Duration(p.mean * float64(ahead) / float64(slots) * float64(time.Second))
 }
 
-// Wait returns the estimate for new work, for a Retry-After.
-func (p *Pool) Wait(now time.Duration) time.Duration {
-	return p.wait(now)
+// queueOf returns how much work of a tenant waits.
+func (p *Pool) queueOf(tenant string) int {
+	for _, q := range p.queues {
+		if q.name == tenant {
+			return len(q.work)
+		}
+	}
+	return 0
 }
 
 func (p *Pool) start(t *slotState, w Work) Start {
--- a/requester/pools.go
+++ b/requester/pools.go
@@ -119,12 +119,12 @@
 	}
 	if verdict == dispatcher.Refused {
 		defer p.mu.Unlock()
-		return nil, refused(one.Wait(p.now()))
+		return nil, refused(one.Wait(p.now(), tenant))
 	}
 	ready := make(chan string, 1)
 	one.waiting[w.ID] = ready
 	p.mu.Unlock()
-	return p.await(ctx, one, w.ID, ready)
+	return p.await(ctx, one, w, ready)
 }
 
 func noTarget() *Problem {
@@ -135,21 +135,21 @@
 	return &slot{pools: p, pool: one, target: target, begun: p.now()}
 }
 
-func (p *pools) await(ctx context.Context, one *pool, id dispatcher.ID, ready chan string) (*slot, error) {
+func (p *pools) await(ctx context.Context, one *pool, w dispatcher.Work, ready chan string) (*slot, error) {
 	select {
 	case target, ok := <-ready:
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if !ok {
-			return nil, refused(one.Wait(p.now()))
+			return nil, refused(one.Wait(p.now(), w.Tenant))
 		}
 		return p.slot(one, target), nil
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if one.Cancel(id) {
-		delete(one.waiting, id)
+	if one.Cancel(w.ID) {
+		delete(one.waiting, w.ID)
 		return nil, ctx.Err()
 	}
 	target, ok := <-ready
