gossiper: send versions with every message in place of records

Cause: each instance's record of its version was spread to all others, 245 KB an instance for one change at 165 instances, and the probing did work in proportion to the members at every tick.

--- a/controller/chores.go
+++ b/controller/chores.go
@@ -72,17 +72,10 @@
 	if c.fetching {
 		return
 	}
-	own := c.machine.Config().Version
-	var sources []gossiper.Member
-	for _, m := range c.gossip.Members() {
-		if m.Alive() && m.Version > own {
-			sources = append(sources, m)
-		}
-	}
-	if len(sources) == 0 {
+	best, ok := c.gossip.Newest()
+	if !ok || best.Version <= c.machine.Config().Version {
 		return
 	}
-	best := sources[int(uint64(c.now())%uint64(len(sources)))]
 	c.fetching = true
 	after := c.machine.Index()
 	c.closed.Add(1)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -493,8 +493,8 @@
 	if r == c.seen {
 		return
 	}
+	c.gossip.SetVersion(r.version, c.watchers())
 	c.gossip.Update(func(i gossiper.Instance) gossiper.Instance {
-		i.Version = r.version
 		i.Serving = c.ready && !c.leaving
 		return i
 	})
@@ -503,6 +503,21 @@
 	c.onWorld(c.world())
 }
 
+// watchers returns who is told at once which version is in force here: everybody in
+// a small deployment, the voters in a large one.
+func (c *Controller) watchers() []string {
+	const small = 16 // instances
+	members := c.gossip.Members()
+	if len(members) >= small {
+		return c.machine.Config().Voters
+	}
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 func (c *Controller) world() World {
 	w := World{
 		Self: c.gossip.Self(), Config: c.machine.Config(), Members: c.gossip.Members(),
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -31,6 +31,8 @@
 	indirectProbes  = 2
 	syncEvery       = 2 * time.Second
 	maxSyncMessages = 4
+	reportEvery     = 30 * time.Second
+	versionFanout   = 3 // instances that are told of a new version at random
 )
 
 // Member is what this instance believes of another.
@@ -73,6 +75,11 @@
 	random      *rand.Rand
 	store       *store
 	members     map[string]*Member
+	alive       int // members that are alive
+	nextReport  time.Duration
+	watchers    []string
+	fresh       bool   // the version has just changed
+	newest      string // member with the highest version, "" for none above self
 	round       []string
 	probes      []probe
 	forwards    []forwarded
@@ -221,14 +228,66 @@
 	return *m, true
 }
 
+// aliveCount returns the number of live instances, this one included.
 func (g *Gossiper) aliveCount() int {
-	n := 1
-	for _, m := range g.members {
-		if m.Alive() {
-			n++
+	return g.alive + 1
+}
+
+// SetVersion changes the version that this instance has in force. It travels with
+// every message, and at once to the watchers; it is no record, because a record of
+// each instance for each change would cost every instance in proportion to their
+// number. watchers are those who need to know soon.
+func (g *Gossiper) SetVersion(v uint64, watchers []string) {
+	g.watchers = watchers
+	if v == g.self.Version {
+		return
+	}
+	g.self.Version = v
+	g.nextReport = 0
+	g.fresh = true
+	g.revision++
+}
+
+// Newest returns a live member whose version is the highest that was heard of, if it
+// is above this instance's own.
+func (g *Gossiper) Newest() (Member, bool) {
+	m, ok := g.members[g.newest]
+	if !ok || !m.Alive() || m.Version <= g.self.Version {
+		return Member{}, false
+	}
+	return *m, true
+}
+
+// report tells the watchers which version is in force here: at once when it changes,
+// and now and then, for those that have restarted.
+func (g *Gossiper) report(now time.Duration) {
+	if now < g.nextReport {
+		return
+	}
+	g.nextReport = now + reportEvery
+	if g.fresh {
+		g.fresh = false
+		for _, to := range g.anyAlive(versionFanout) {
+			g.send(to, Message{Kind: KindReport})
+		}
+	}
+	for _, name := range g.watchers {
+		if m, ok := g.members[name]; ok && m.Alive() {
+			g.send(m.Peer, Message{Kind: KindReport})
 		}
 	}
-	return n
+}
+
+// heard notes the version of the sender of a message.
+func (g *Gossiper) heard(m *Member, v uint64) {
+	if v > m.Version {
+		m.Version = v
+		g.revision++
+	}
+	top, ok := g.members[g.newest]
+	if !ok || !top.Alive() || m.Version > top.Version {
+		g.newest = m.Name
+	}
 }
 
 // Tick does what is due and returns the messages to send.
@@ -243,6 +302,7 @@
 		g.nextRumor = now + g.period/4
 		g.spreadRumors()
 	}
+	g.report(now)
 	return g.flush()
 }
 
@@ -255,6 +315,7 @@
 func (g *Gossiper) send(to string, m Message) {
 	m.From = g.self.Name
 	m.Digest = g.store.digest
+	m.Version = g.self.Version
 	g.out = append(g.out, Envelope{To: to, Message: m})
 }
 
@@ -376,36 +437,51 @@
 }
 
 func (g *Gossiper) checkSuspects(now time.Duration) {
-	for _, m := range g.Members() {
-		if m.Rank == RankSuspect && now-m.Since >= g.suspect {
-			g.claim(now, m.Name, RankDead)
+	var late []string
+	for name, m := range g.members {
+		if (m.Rank == RankSuspect && now-m.Since >= g.suspect) || (m.Rank == RankDead && now-m.Since >= g.retain) {
+			late = append(late, name)
 		}
-		if m.Rank == RankDead && now-m.Since >= g.retain {
-			delete(g.members, m.Name)
-			g.Forget(InstancePrefix + m.Name)
+	}
+	slices.Sort(late)
+	for _, name := range late {
+		if g.members[name].Rank == RankSuspect {
+			g.claim(now, name, RankDead)
+			continue
 		}
+		delete(g.members, name)
+		g.Forget(InstancePrefix + name)
 	}
 }
 
 func (g *Gossiper) spreadRumors() {
-	var to []string
-	for _, m := range g.members {
-		if m.Alive() {
-			to = append(to, m.Peer)
-		}
-	}
-	slices.Sort(to)
-	for range min(rumorFanout, len(to)) {
-		i := g.random.IntN(len(to))
+	for _, to := range g.anyAlive(rumorFanout) {
 		records := g.store.take(maxDatagram, g.aliveCount())
 		if len(records) == 0 {
 			return
 		}
-		g.send(to[i], Message{Kind: KindRumor, Records: records})
-		to = slices.Delete(to, i, i+1)
+		g.send(to, Message{Kind: KindRumor, Records: records})
 	}
 }
 
+// anyAlive returns the addresses of at most n live members, drawn at random.
+func (g *Gossiper) anyAlive(n int) []string {
+	var all []string
+	for _, m := range g.members {
+		if m.Alive() {
+			all = append(all, m.Peer)
+		}
+	}
+	slices.Sort(all)
+	var out []string
+	for range min(n, len(all)) {
+		i := g.random.IntN(len(all))
+		out = append(out, all[i])
+		all = slices.Delete(all, i, i+1)
+	}
+	return out
+}
+
 // Depart returns the messages that tell others this instance has stopped, so that
 // they need not find out.
 func (g *Gossiper) Depart() []Envelope {
@@ -431,6 +507,7 @@
 	}
 	if sender, ok := g.members[m.From]; ok {
 		sender.LastContact = now
+		g.heard(sender, m.Version)
 	}
 	switch m.Kind {
 	case KindPing:
@@ -522,15 +599,23 @@
 	g.revision++
 	m, ok := g.members[body.Name]
 	if !ok {
-		m = &Member{}
+		m = &Member{Rank: RankDead}
 		g.members[body.Name] = m
 	}
+	if m.Alive() {
+		g.alive--
+	}
+	if r.Rank != RankDead {
+		g.alive++
+	}
+	body.Version = max(body.Version, m.Version)
 	if !ok || m.Rank != r.Rank || m.Incarnation != r.Incarnation {
 		m.Since = now
 	}
 	m.Instance = body
 	m.Incarnation = r.Incarnation
 	m.Rank = r.Rank
+	g.heard(m, body.Version)
 }
 
 func (g *Gossiper) refute(r Record) {
--- /dev/null
+++ b/gossiper/gossiper_test.go
@@ -0,0 +1,180 @@
+package gossiper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+)
+
+// net carries messages between gossipers in virtual time.
+type net struct {
+	now   time.Duration
+	nodes map[string]*Gossiper // by address
+	side  map[string]int
+	mail  []posted
+}
+
+type posted struct {
+	from string
+	Envelope
+}
+
+func address(i int) string { return fmt.Sprintf("127.0.0.1:%d", 7000+i) }
+
+func instance(i int) Instance {
+	return Instance{Name: fmt.Sprintf("i%d", i), DataCentre: "dc", Group: "all", Peer: address(i), RPC: address(i), Serving: true}
+}
+
+func newNet(n int) *net {
+	w := &net{nodes: make(map[string]*Gossiper), side: make(map[string]int)}
+	for i := range n {
+		w.start(i, 1)
+	}
+	return w
+}
+
+func (w *net) start(i int, incarnation uint64) {
+	w.nodes[address(i)] = New(instance(i), incarnation, WithSeeds(address(0), address(1)),
+		WithRandom(rand.New(rand.NewPCG(uint64(i), incarnation))))
+}
+
+func (w *net) run(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += 20 * time.Millisecond {
+		mail := w.mail
+		w.mail = nil
+		for _, m := range mail {
+			if to := w.nodes[m.To]; to != nil && w.side[m.To] == w.side[m.from] {
+				w.post(m.To, to.Handle(w.now, m.from, m.Message))
+			}
+		}
+		for i := range 20 {
+			if g := w.nodes[address(i)]; g != nil {
+				w.post(address(i), g.Tick(w.now))
+			}
+		}
+	}
+}
+
+func (w *net) post(from string, list []Envelope) {
+	for _, e := range list {
+		w.mail = append(w.mail, posted{from: from, Envelope: e})
+	}
+}
+
+// believes tells how many nodes hold the named instance to be alive.
+func (w *net) believes(name string) int {
+	n := 0
+	for _, g := range w.nodes {
+		if m, ok := g.Member(name); ok && m.Alive() {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAllFindEachOther(t *testing.T) {
+	is := is.New(t)
+	w := newNet(7)
+	w.run(5 * time.Second)
+	for i := range 7 {
+		is.Equal(w.believes(fmt.Sprintf("i%d", i)), 6)
+	}
+}
+
+func TestDeathIsNoticedAndARestartIsNotTakenForTheEarlierSelf(t *testing.T) {
+	is := is.New(t)
+	w := newNet(7)
+	w.run(5 * time.Second)
+	delete(w.nodes, address(3))
+	w.run(4 * time.Second)
+	is.Equal(w.believes("i3"), 0)
+	w.start(3, 2)
+	w.run(4 * time.Second)
+	is.Equal(w.believes("i3"), 6)
+	m, _ := w.nodes[address(0)].Member("i3")
+	is.Equal(m.Incarnation, uint64(2))
+	old := Record{Key: InstancePrefix + "i3", Incarnation: 1, Sequence: 99, Rank: RankDead}
+	w.nodes[address(0)].accept(w.now, old) // late word of the earlier self
+	is.Equal(w.believes("i3"), 6)
+}
+
+func TestRestartWithAnEarlierClockRisesAboveItself(t *testing.T) {
+	is := is.New(t)
+	w := newNet(3)
+	w.start(2, 1000)
+	w.run(5 * time.Second)
+	w.start(2, 5) // the clock went back
+	w.run(10 * time.Second)
+	is.Equal(w.believes("i2"), 2)
+	is.True(w.nodes[address(2)].Incarnation() > 1000)
+}
+
+func TestFalseSuspicionIsRefuted(t *testing.T) {
+	is := is.New(t)
+	w := newNet(5)
+	w.run(5 * time.Second)
+	w.nodes[address(0)].claim(w.now, "i4", RankSuspect)
+	w.run(3 * time.Second)
+	is.Equal(w.believes("i4"), 4)
+	m, _ := w.nodes[address(0)].Member("i4")
+	is.Equal(m.Rank, RankOwn)
+}
+
+func TestPartitionHeals(t *testing.T) {
+	is := is.New(t)
+	w := newNet(7)
+	w.run(5 * time.Second)
+	for i := range 3 {
+		w.side[address(i)] = 1
+	}
+	w.run(6 * time.Second)
+	is.Equal(w.believes("i0"), 2)
+	is.Equal(w.believes("i6"), 3)
+	w.nodes[address(0)].Publish(Record{Key: TargetPrefix + "x", Incarnation: 1, Sequence: 1, Body: cbor.RawMessage{0xf6}})
+	w.side = map[string]int{}
+	w.run(20 * time.Second)
+	for i := range 7 {
+		is.Equal(w.believes(fmt.Sprintf("i%d", i)), 6)
+		found := 0
+		w.nodes[address(i)].Records(TargetPrefix, func(Record) { found++ })
+		is.Equal(found, 1) // what was published on one side has come to the other
+	}
+}
+
+func TestVersionsSpreadAndNeverGoBack(t *testing.T) {
+	is := is.New(t)
+	w := newNet(7)
+	w.run(5 * time.Second)
+	w.nodes[address(0)].SetVersion(9, []string{"i5"})
+	w.run(time.Second)
+	newest, ok := w.nodes[address(5)].Newest()
+	is.True(ok)
+	is.Equal(newest.Version, uint64(9))
+	stale := w.nodes[address(5)]
+	stale.Handle(w.now, address(0), Message{Kind: KindReport, From: "i0", Version: 3})
+	m, _ := stale.Member("i0")
+	is.Equal(m.Version, uint64(9))
+}
+
+func FuzzMessage(f *testing.F) {
+	w := newNet(2)
+	w.run(time.Second)
+	for _, e := range w.nodes[address(0)].Tick(w.now + time.Minute) {
+		b, err := cbor.Marshal(e.Message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	g := New(instance(9), 1)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		var m Message
+		if cbor.Unmarshal(b, &m) == nil && m.Validate() == nil {
+			g.Handle(0, "127.0.0.1:1", m)
+		}
+	})
+}
--- a/gossiper/record.go
+++ b/gossiper/record.go
@@ -116,6 +116,7 @@
 	KindIndirect // asks the receiver to ping Subject
 	KindRumor
 	KindBuckets // carries bucket digests, asks for records that differ
+	KindReport  // carries the sender's version, to those who watch over it
 	kindCount
 )
 
@@ -127,6 +128,7 @@
 	Sequence uint64
 	Subject  string
 	Digest   uint64
+	Version  uint64 // configuration in force at the sender
 	Records  []Record
 	Buckets  []uint64
 }
--- a/gossiper/store.go
+++ b/gossiper/store.go
@@ -86,6 +86,9 @@
 		out = append(out, r)
 		s.rumors[i].sent++
 	}
+	if len(out) == 0 {
+		return nil
+	}
 	s.rumors = slices.DeleteFunc(s.rumors, func(r rumor) bool { return r.sent >= times })
 	slices.SortStableFunc(s.rumors, func(a, b rumor) int { return a.sent - b.sent })
 	return out
--- a/measurer/report.go
+++ b/measurer/report.go
@@ -64,13 +64,17 @@
 	NewPerSecond float64        `json:"new-flows-per-second"`
 	InForceMS    float64        `json:"in-force-ms"`
 	RecoveryMS   float64        `json:"recovery-ms"`
-	WaitP99MS    float64        `json:"wait-p99-ms"`
-	IdealWaitP99 float64        `json:"ideal-wait-p99-ms"`
-	RefusedWork  int            `json:"refused-work"`
-	WorkMaxMean  float64        `json:"work-max-mean"`
-	Goodput      float64        `json:"goodput-share"`
-	ExtraWork    float64        `json:"extra-work-share"`
-	Over         []Sample       `json:"imbalance-over-time"`
+
+	MessagesPerSecond float64 `json:"messages-per-second"`
+	ChangeBytes       float64 `json:"bytes-per-change"`
+
+	WaitP99MS    float64  `json:"wait-p99-ms"`
+	IdealWaitP99 float64  `json:"ideal-wait-p99-ms"`
+	RefusedWork  int      `json:"refused-work"`
+	WorkMaxMean  float64  `json:"work-max-mean"`
+	Goodput      float64  `json:"goodput-share"`
+	ExtraWork    float64  `json:"extra-work-share"`
+	Over         []Sample `json:"imbalance-over-time"`
 
 	packets, relayed, records int
 	controlBytes              float64
--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -52,6 +52,9 @@
 	for _, s := range slotScenarios() {
 		names = append(names, s.name)
 	}
+	for _, s := range spreadScenarios() {
+		names = append(names, s.name)
+	}
 	return names
 }
 
@@ -96,6 +99,11 @@
 			return runSlots(set, c, deployments[j])
 		}
 	}
+	for _, c := range spreadScenarios() {
+		if c.name == set.Scenario {
+			return runSpread(set, c)
+		}
+	}
 	for _, c := range flowScenarios() {
 		if c.name != set.Scenario {
 			continue
