picker, gossiper, controller, measurer: one file a concept

Change: questions and places of the picker, probes and versions of the gossip, the log of the controller and the fate of flows in the measuring have files of their own. Conclusion: easier to find one's way.

--- /dev/null
+++ b/controller/log.go
@@ -0,0 +1,184 @@
+package controller
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"almondpick/gossiper"
+	"almondpick/journaler"
+	"almondpick/messenger"
+	"almondpick/planner"
+	"almondpick/voter"
+)
+
+// openJournal reads the data folder and starts the voter from it.
+func (c *Controller) openJournal(identity string) error {
+	j, state, err := journaler.Open(c.set.DataFolder, journaler.WithIdentity(identity))
+	if err != nil {
+		return err
+	}
+	id := voter.ID(c.set.Self.Name + "#" + state.Identity)
+	if state.Snapshot.Index > 0 {
+		if err := c.machine.Restore(state.Snapshot.Data); err != nil {
+			return err
+		}
+	}
+	c.journal = j
+	if state.Fresh && identity == firstIdentity {
+		if err := c.first(&state); err != nil {
+			return err
+		}
+	}
+	c.voter = voter.New(id, c.now(), state.Hard, state.Snapshot, state.Entries,
+		voter.WithTimes(c.set.Heartbeat, c.set.Election),
+		voter.WithRandom(rand.New(rand.NewPCG(uint64(c.start.UnixNano()), 3))))
+	c.gossip.Update(func(i gossiper.Instance) gossiper.Instance {
+		i.VoterID = string(id)
+		return i
+	})
+	c.applyVoter()
+	return nil
+}
+
+// first makes the state durable that the first voters of a deployment begin with:
+// the membership that their settings name, at position 1.
+func (c *Controller) first(state *journaler.State) error {
+	var m voter.Membership
+	for _, name := range c.set.Voters {
+		m = m.WithVoter(voter.ID(name + "#" + firstIdentity))
+	}
+	c.machine.Skip(1)
+	data, err := c.machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	state.Snapshot = voter.Snapshot{Index: 1, Term: 1, Membership: m, Data: data}
+	state.Hard = voter.HardState{Term: 1, Commit: 1}
+	return c.journal.Compact(state.Snapshot, state.Hard, nil)
+}
+
+// applyVoter carries out what the voter asks for. A failed write ends the voter:
+// it must not speak of what may not be durable.
+func (c *Controller) applyVoter() {
+	if c.voter == nil || c.voterErr != nil {
+		return
+	}
+	out := c.voter.Take()
+	if out.Empty() {
+		return
+	}
+	if err := c.save(out); err != nil {
+		c.voterErr = err
+		c.log.Error("voter-stopped", "error", err)
+		c.failWaiters()
+		return
+	}
+	for _, m := range out.Messages {
+		if to, ok := c.addressOf(m.To); ok {
+			c.transport.Exchange(to, m)
+		}
+	}
+	for _, e := range out.Committed {
+		c.apply(e)
+	}
+	c.compact()
+	if c.voter.Role() != voter.Leader {
+		c.failWaiters()
+	}
+}
+
+func (c *Controller) save(out voter.Output) error {
+	if out.Install != nil {
+		if err := c.machine.Restore(out.Install.Data); err != nil {
+			return err
+		}
+		c.commands = nil
+		return c.journal.Compact(*out.Install, c.voter.HardState(), out.Entries)
+	}
+	return c.journal.Save(out.Hard, out.Entries)
+}
+
+// addressOf returns the address of the peer door of the instance that a voter
+// runs on, provided the instance still has that disk.
+func (c *Controller) addressOf(id voter.ID) (string, bool) {
+	m, ok := c.gossip.Member(instanceOf(id))
+	if !ok || (m.VoterID != "" && m.VoterID != string(id)) {
+		return "", false
+	}
+	return m.RPC, true
+}
+
+func instanceOf(id voter.ID) string {
+	name, _, _ := strings.Cut(string(id), "#")
+	return name
+}
+
+func (c *Controller) apply(e voter.Entry) {
+	answer := planner.Answer{}
+	if e.Kind == voter.EntryCommand {
+		var cmd planner.Command
+		if err := messenger.Decode(e.Data, &cmd); err != nil {
+			c.log.Error("command-unreadable", "index", e.Index, "error", err)
+			c.machine.Skip(e.Index)
+		} else {
+			answer = c.applyCommand(e.Index, cmd)
+		}
+	} else {
+		c.machine.Skip(e.Index)
+	}
+	w, ok := c.waiters[e.Index]
+	if !ok {
+		return
+	}
+	delete(c.waiters, e.Index)
+	if w.term != e.Term {
+		answer = planner.Answer{Refusal: &planner.Refusal{Code: planner.CodeUnknown}}
+	}
+	w.answer <- answer
+}
+
+func (c *Controller) applyCommand(index uint64, cmd planner.Command) planner.Answer {
+	if index <= c.machine.Index() {
+		return planner.Answer{}
+	}
+	before := c.machine.Config().Version
+	answer := c.machine.Apply(index, cmd)
+	c.commands = append(c.commands, messenger.Applied{Index: index, Command: cmd})
+	if len(c.commands) > 2*keptCommands {
+		c.commands = slices.Clone(c.commands[len(c.commands)-keptCommands:])
+	}
+	if v := c.machine.Config().Version; v != before {
+		c.log.Info("configuration-in-force", "version", v)
+	}
+	return answer
+}
+
+func (c *Controller) failWaiters() {
+	for index, w := range c.waiters {
+		w.answer <- planner.Answer{Refusal: &planner.Refusal{Code: planner.CodeUnknown}}
+		delete(c.waiters, index)
+	}
+}
+
+// compact replaces the log by a snapshot once it has grown.
+func (c *Controller) compact() {
+	index := c.machine.Index()
+	first := c.voter.FirstIndex()
+	if index < first+compactAfter {
+		return
+	}
+	data, err := c.machine.Snapshot()
+	if err != nil {
+		c.log.Error("snapshot-failed", "error", err)
+		return
+	}
+	term, membership := c.voter.SnapshotMembership(index)
+	s := voter.Snapshot{Index: index, Term: term, Membership: membership, Data: data}
+	if err := c.journal.Compact(s, c.voter.HardState(), c.voter.EntriesAfter(index)); err != nil {
+		c.voterErr = err
+		c.log.Error("voter-stopped", "error", err)
+		return
+	}
+	c.voter.Compacted(s)
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -49,13 +49,6 @@
 	return m.Rank != RankDead
 }
 
-type probe struct {
-	sequence uint64
-	name     string
-	sent     time.Duration
-	indirect bool
-}
-
 type forwarded struct {
 	sequence uint64 // ours
 	asker    string
@@ -233,63 +226,6 @@
 	return g.alive + 1
 }
 
-// SetVersion changes the version that this instance has in force. It travels with
-// every message, and at once to the watchers; it is no record, because a record of
-// each instance for each change would cost every instance in proportion to their
-// number. watchers are those who need to know soon.
-func (g *Gossiper) SetVersion(v uint64, watchers []string) {
-	g.watchers = watchers
-	if v == g.self.Version {
-		return
-	}
-	g.self.Version = v
-	g.nextReport = 0
-	g.fresh = true
-	g.revision++
-}
-
-// Newest returns a live member whose version is the highest that was heard of, if it
-// is above this instance's own.
-func (g *Gossiper) Newest() (Member, bool) {
-	m, ok := g.members[g.newest]
-	if !ok || !m.Alive() || m.Version <= g.self.Version {
-		return Member{}, false
-	}
-	return *m, true
-}
-
-// report tells the watchers which version is in force here: at once when it changes,
-// and now and then, for those that have restarted.
-func (g *Gossiper) report(now time.Duration) {
-	if now < g.nextReport {
-		return
-	}
-	g.nextReport = now + reportEvery
-	if g.fresh {
-		g.fresh = false
-		for _, to := range g.anyAlive(versionFanout) {
-			g.send(to, Message{Kind: KindReport})
-		}
-	}
-	for _, name := range g.watchers {
-		if m, ok := g.members[name]; ok && m.Alive() {
-			g.send(m.Peer, Message{Kind: KindReport})
-		}
-	}
-}
-
-// heard notes the version of the sender of a message.
-func (g *Gossiper) heard(m *Member, v uint64) {
-	if v > m.Version {
-		m.Version = v
-		g.revision++
-	}
-	top, ok := g.members[g.newest]
-	if !ok || !top.Alive() || m.Version > top.Version {
-		g.newest = m.Name
-	}
-}
-
 // Tick does what is due and returns the messages to send.
 func (g *Gossiper) Tick(now time.Duration) []Envelope {
 	g.checkProbes(now)
@@ -325,60 +261,6 @@
 	g.send(to, m)
 }
 
-// probeNext probes the next member of the round; at the end of a round, a dead
-// member or a seed instead.
-func (g *Gossiper) probeNext(now time.Duration) {
-	for len(g.round) > 0 {
-		name := g.round[0]
-		g.round = g.round[1:]
-		m, ok := g.members[name]
-		if ok && m.Alive() {
-			g.probe(now, m.Name, m.Peer)
-			return
-		}
-	}
-	g.newRound()
-	if to, ok := g.lostAddress(); ok {
-		g.withRumors(to, Message{Kind: KindPing, Sequence: g.nextSequence()})
-	}
-}
-
-func (g *Gossiper) newRound() {
-	for name, m := range g.members {
-		if m.Alive() {
-			g.round = append(g.round, name)
-		}
-	}
-	slices.Sort(g.round)
-	g.random.Shuffle(len(g.round), func(i, j int) { g.round[i], g.round[j] = g.round[j], g.round[i] })
-}
-
-// lostAddress returns the address of a dead member or of a seed that no live
-// member has.
-func (g *Gossiper) lostAddress() (string, bool) {
-	alive := map[string]bool{g.self.Peer: true}
-	var lost []string
-	for _, m := range g.members {
-		if m.Alive() {
-			alive[m.Peer] = true
-		} else {
-			lost = append(lost, m.Peer)
-		}
-	}
-	lost = append(lost, g.seeds...)
-	lost = slices.DeleteFunc(lost, func(a string) bool { return alive[a] })
-	if len(lost) == 0 {
-		return "", false
-	}
-	slices.Sort(lost)
-	return lost[g.random.IntN(len(lost))], true
-}
-
-func (g *Gossiper) nextSequence() uint64 {
-	g.probeNumber++
-	return g.probeNumber
-}
-
 func (g *Gossiper) probe(now time.Duration, name, to string) {
 	n := g.nextSequence()
 	g.probes = append(g.probes, probe{sequence: n, name: name, sent: now})
@@ -390,70 +272,6 @@
 	g.send(to, m)
 }
 
-// checkProbes repeats unanswered probes through others after half a period, and
-// suspects the instance a period and a half after the first.
-func (g *Gossiper) checkProbes(now time.Duration) {
-	kept := g.probes[:0]
-	for _, p := range g.probes {
-		age := now - p.sent
-		if !p.indirect && age >= g.period/2 {
-			p.indirect = true
-			g.probeIndirectly(p)
-		}
-		if age >= g.period*3/2 {
-			g.claim(now, p.name, RankSuspect)
-			continue
-		}
-		kept = append(kept, p)
-	}
-	g.probes = kept
-	g.forwards = slices.DeleteFunc(g.forwards, func(f forwarded) bool { return now-f.sent > 4*g.period })
-}
-
-func (g *Gossiper) probeIndirectly(p probe) {
-	var helpers []string
-	for name, m := range g.members {
-		if name != p.name && m.Rank == RankOwn {
-			helpers = append(helpers, name)
-		}
-	}
-	slices.Sort(helpers)
-	for range min(indirectProbes, len(helpers)) {
-		i := g.random.IntN(len(helpers))
-		to := g.members[helpers[i]].Peer
-		g.send(to, Message{Kind: KindIndirect, Sequence: p.sequence, Subject: p.name})
-		helpers = slices.Delete(helpers, i, i+1)
-	}
-}
-
-// claim raises the rank of a member's record: suspected, or dead.
-func (g *Gossiper) claim(now time.Duration, name string, rank Rank) {
-	r, ok := g.store.records[InstancePrefix+name]
-	if !ok || r.Rank >= rank {
-		return
-	}
-	r.Rank = rank
-	g.accept(now, r)
-}
-
-func (g *Gossiper) checkSuspects(now time.Duration) {
-	var late []string
-	for name, m := range g.members {
-		if (m.Rank == RankSuspect && now-m.Since >= g.suspect) || (m.Rank == RankDead && now-m.Since >= g.retain) {
-			late = append(late, name)
-		}
-	}
-	slices.Sort(late)
-	for _, name := range late {
-		if g.members[name].Rank == RankSuspect {
-			g.claim(now, name, RankDead)
-			continue
-		}
-		delete(g.members, name)
-		g.Forget(InstancePrefix + name)
-	}
-}
-
 func (g *Gossiper) spreadRumors() {
 	for _, to := range g.anyAlive(rumorFanout) {
 		records := g.store.take(maxDatagram, g.aliveCount())
@@ -524,27 +342,6 @@
 	return g.flush()
 }
 
-// acknowledged ends the probe that the message answers, or passes the answer on
-// to the instance that asked for it.
-func (g *Gossiper) acknowledged(m Message) {
-	g.probes = slices.DeleteFunc(g.probes, func(p probe) bool { return p.sequence == m.Sequence })
-	for _, f := range g.forwards {
-		if f.sequence == m.Sequence {
-			g.send(f.asker, Message{Kind: KindAck, Sequence: f.theirs})
-		}
-	}
-}
-
-func (g *Gossiper) probeFor(now time.Duration, from string, m Message) {
-	subject, ok := g.members[m.Subject]
-	if !ok {
-		return
-	}
-	n := g.nextSequence()
-	g.forwards = append(g.forwards, forwarded{sequence: n, asker: from, theirs: m.Sequence, sent: now})
-	g.send(subject.Peer, Message{Kind: KindPing, Sequence: n})
-}
-
 // compare asks for the records that differ when the sender's digest is another
 // one while no rumours are under way that would explain it.
 func (g *Gossiper) compare(now time.Duration, from string, m Message) {
--- /dev/null
+++ b/gossiper/probe.go
@@ -0,0 +1,152 @@
+package gossiper
+
+import (
+	"slices"
+	"time"
+)
+
+// probeNext probes the next member of the round; at the end of a round, a dead
+// member or a seed instead.
+func (g *Gossiper) probeNext(now time.Duration) {
+	for len(g.round) > 0 {
+		name := g.round[0]
+		g.round = g.round[1:]
+		m, ok := g.members[name]
+		if ok && m.Alive() {
+			g.probe(now, m.Name, m.Peer)
+			return
+		}
+	}
+	g.newRound()
+	if to, ok := g.lostAddress(); ok {
+		g.withRumors(to, Message{Kind: KindPing, Sequence: g.nextSequence()})
+	}
+}
+
+func (g *Gossiper) newRound() {
+	for name, m := range g.members {
+		if m.Alive() {
+			g.round = append(g.round, name)
+		}
+	}
+	slices.Sort(g.round)
+	g.random.Shuffle(len(g.round), func(i, j int) { g.round[i], g.round[j] = g.round[j], g.round[i] })
+}
+
+// lostAddress returns the address of a dead member or of a seed that no live
+// member has.
+func (g *Gossiper) lostAddress() (string, bool) {
+	alive := map[string]bool{g.self.Peer: true}
+	var lost []string
+	for _, m := range g.members {
+		if m.Alive() {
+			alive[m.Peer] = true
+		} else {
+			lost = append(lost, m.Peer)
+		}
+	}
+	lost = append(lost, g.seeds...)
+	lost = slices.DeleteFunc(lost, func(a string) bool { return alive[a] })
+	if len(lost) == 0 {
+		return "", false
+	}
+	slices.Sort(lost)
+	return lost[g.random.IntN(len(lost))], true
+}
+
+func (g *Gossiper) nextSequence() uint64 {
+	g.probeNumber++
+	return g.probeNumber
+}
+
+type probe struct {
+	sequence uint64
+	name     string
+	sent     time.Duration
+	indirect bool
+}
+
+// checkProbes repeats unanswered probes through others after half a period, and
+// suspects the instance a period and a half after the first.
+func (g *Gossiper) checkProbes(now time.Duration) {
+	kept := g.probes[:0]
+	for _, p := range g.probes {
+		age := now - p.sent
+		if !p.indirect && age >= g.period/2 {
+			p.indirect = true
+			g.probeIndirectly(p)
+		}
+		if age >= g.period*3/2 {
+			g.claim(now, p.name, RankSuspect)
+			continue
+		}
+		kept = append(kept, p)
+	}
+	g.probes = kept
+	g.forwards = slices.DeleteFunc(g.forwards, func(f forwarded) bool { return now-f.sent > 4*g.period })
+}
+
+func (g *Gossiper) probeIndirectly(p probe) {
+	var helpers []string
+	for name, m := range g.members {
+		if name != p.name && m.Rank == RankOwn {
+			helpers = append(helpers, name)
+		}
+	}
+	slices.Sort(helpers)
+	for range min(indirectProbes, len(helpers)) {
+		i := g.random.IntN(len(helpers))
+		to := g.members[helpers[i]].Peer
+		g.send(to, Message{Kind: KindIndirect, Sequence: p.sequence, Subject: p.name})
+		helpers = slices.Delete(helpers, i, i+1)
+	}
+}
+
+// claim raises the rank of a member's record: suspected, or dead.
+func (g *Gossiper) claim(now time.Duration, name string, rank Rank) {
+	r, ok := g.store.records[InstancePrefix+name]
+	if !ok || r.Rank >= rank {
+		return
+	}
+	r.Rank = rank
+	g.accept(now, r)
+}
+
+func (g *Gossiper) checkSuspects(now time.Duration) {
+	var late []string
+	for name, m := range g.members {
+		if (m.Rank == RankSuspect && now-m.Since >= g.suspect) || (m.Rank == RankDead && now-m.Since >= g.retain) {
+			late = append(late, name)
+		}
+	}
+	slices.Sort(late)
+	for _, name := range late {
+		if g.members[name].Rank == RankSuspect {
+			g.claim(now, name, RankDead)
+			continue
+		}
+		delete(g.members, name)
+		g.Forget(InstancePrefix + name)
+	}
+}
+
+// acknowledged ends the probe that the message answers, or passes the answer on
+// to the instance that asked for it.
+func (g *Gossiper) acknowledged(m Message) {
+	g.probes = slices.DeleteFunc(g.probes, func(p probe) bool { return p.sequence == m.Sequence })
+	for _, f := range g.forwards {
+		if f.sequence == m.Sequence {
+			g.send(f.asker, Message{Kind: KindAck, Sequence: f.theirs})
+		}
+	}
+}
+
+func (g *Gossiper) probeFor(now time.Duration, from string, m Message) {
+	subject, ok := g.members[m.Subject]
+	if !ok {
+		return
+	}
+	n := g.nextSequence()
+	g.forwards = append(g.forwards, forwarded{sequence: n, asker: from, theirs: m.Sequence, sent: now})
+	g.send(subject.Peer, Message{Kind: KindPing, Sequence: n})
+}
--- /dev/null
+++ b/gossiper/version.go
@@ -0,0 +1,60 @@
+package gossiper
+
+import "time"
+
+// SetVersion changes the version that this instance has in force. It travels with
+// every message, and at once to the watchers; it is no record, because a record of
+// each instance for each change would cost every instance in proportion to their
+// number. watchers are those who need to know soon.
+func (g *Gossiper) SetVersion(v uint64, watchers []string) {
+	g.watchers = watchers
+	if v == g.self.Version {
+		return
+	}
+	g.self.Version = v
+	g.nextReport = 0
+	g.fresh = true
+	g.revision++
+}
+
+// Newest returns a live member whose version is the highest that was heard of, if it
+// is above this instance's own.
+func (g *Gossiper) Newest() (Member, bool) {
+	m, ok := g.members[g.newest]
+	if !ok || !m.Alive() || m.Version <= g.self.Version {
+		return Member{}, false
+	}
+	return *m, true
+}
+
+// report tells the watchers which version is in force here: at once when it changes,
+// and now and then, for those that have restarted.
+func (g *Gossiper) report(now time.Duration) {
+	if now < g.nextReport {
+		return
+	}
+	g.nextReport = now + reportEvery
+	if g.fresh {
+		g.fresh = false
+		for _, to := range g.anyAlive(versionFanout) {
+			g.send(to, Message{Kind: KindReport})
+		}
+	}
+	for _, name := range g.watchers {
+		if m, ok := g.members[name]; ok && m.Alive() {
+			g.send(m.Peer, Message{Kind: KindReport})
+		}
+	}
+}
+
+// heard notes the version of the sender of a message.
+func (g *Gossiper) heard(m *Member, v uint64) {
+	if v > m.Version {
+		m.Version = v
+		g.revision++
+	}
+	top, ok := g.members[g.newest]
+	if !ok || !top.Alive() || m.Version > top.Version {
+		g.newest = m.Name
+	}
+}
