planner, parser, measurer: tests of plans, packets and scenarios

Cause: races of operators, the fence, hostile packets and the bounds of the scenarios were not held by tests.

--- /dev/null
+++ b/measurer/measurer_test.go
@@ -0,0 +1,81 @@
+package measurer
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// scaled runs a scenario with a part of the connections, for the time of a test.
+func scaled(is *is.I, scenario, deployment string, p Policy, seed uint64) Report {
+	r, err := Run(Settings{Scenario: scenario, Deployment: deployment, Policy: p, Seed: seed, Scale: 0.04})
+	is.NoErr(err)
+	return r
+}
+
+func TestPlannedChangesBreakNothing(t *testing.T) {
+	for _, c := range flowScenarios() {
+		if !c.planned || c.name == "morning-burst" {
+			continue
+		}
+		for seed := range uint64(2) {
+			is := is.New(t)
+			r := scaled(is, c.name, Lustreworks, Ours, seed)
+			is.Equal(r.BrokenFlows, 0)
+			is.Equal(r.Misrouted, 0)
+			is.True(r.Finished > 100)
+			is.True(r.ControlBytes < 4<<10)
+		}
+	}
+}
+
+func TestInstanceDeathStaysWithinItsBound(t *testing.T) {
+	is := is.New(t)
+	r := scaled(is, "instance-death", CsendesAsztal, Ours, 1)
+	is.True(r.BrokenShare <= 0.001)
+	is.Equal(r.Misrouted, 0)
+}
+
+// TestBaselineWithoutMemoryBreaksFlows makes sure that the checks above can fail.
+func TestBaselineWithoutMemoryBreaksFlows(t *testing.T) {
+	is := is.New(t)
+	is.True(scaled(is, "target-drain", Lustreworks, Rendezvous, 1).BrokenFlows > 0)
+	is.True(scaled(is, "instance-death", Lustreworks, NoReplication, 1).BrokenFlows > 0)
+	is.True(scaled(is, "steady", Lustreworks, RoundRobin, 1).BrokenFlows > 0)
+}
+
+func TestSameSeedSameReport(t *testing.T) {
+	for _, scenario := range []string{"rolling-restart", "slots-burst", "in-force-7"} {
+		is := is.New(t)
+		first, err := json.Marshal(scaled(is, scenario, CsendesAsztal, Ours, 5))
+		is.NoErr(err)
+		second, err := json.Marshal(scaled(is, scenario, CsendesAsztal, Ours, 5))
+		is.NoErr(err)
+		is.Equal(string(first), string(second))
+	}
+}
+
+func TestSlotBounds(t *testing.T) {
+	for _, d := range []string{CsendesAsztal, Lustreworks} {
+		is := is.New(t)
+		steady := scaled(is, "slots-steady", d, Ours, 1)
+		is.True(steady.WaitP99MS <= 1.3*steady.IdealWaitP99)
+		is.Equal(steady.RefusedWork, 0)
+		is.True(steady.WorkMaxMean <= 1.05)
+		burst := scaled(is, "slots-burst", d, Ours, 1)
+		is.True(burst.Goodput >= 0.95)
+		is.Equal(scaled(is, "slots-noisy-tenant", d, Ours, 1).RefusedWork, 0)
+		for _, s := range slotScenarios() {
+			is.True(scaled(is, s.name, d, Ours, 1).ExtraWork <= 0.1)
+		}
+	}
+}
+
+func TestUnknownNamesAreTypedErrors(t *testing.T) {
+	is := is.New(t)
+	_, err := Run(Settings{Scenario: "nonsense", Policy: Ours})
+	is.Equal(err.(*UnknownError).What, "scenario")
+	_, err = Run(Settings{Scenario: "steady", Policy: "nonsense"})
+	is.Equal(err.(*UnknownError).What, "policy")
+}
--- /dev/null
+++ b/parser/parser_test.go
@@ -0,0 +1,79 @@
+package parser
+
+import (
+	"testing"
+
+	"github.com/google/gopacket"
+	"github.com/google/gopacket/layers"
+	"github.com/matryer/is"
+)
+
+// FuzzInner holds our reading against that of a library: what we accept, the library
+// must read in the same way, and nothing may panic.
+func FuzzInner(f *testing.F) {
+	tcp := []byte{0x45, 0, 0, 40, 0, 0, 0, 0, 64, 6, 0, 0, 198, 51, 100, 1, 192, 0, 2, 1, 1, 2, 3, 4, 0, 0, 0, 7, 0, 0, 0, 0, 0x50, 2, 0, 0, 0, 0, 0, 0}
+	f.Add(tcp, true)
+	fragment := append([]byte(nil), tcp...)
+	fragment[7] = 1
+	f.Add(fragment, true)
+	v6 := append([]byte{0x60, 0, 0, 0, 0, 8, 17, 64}, make([]byte, 40)...)
+	v6[45] = 8
+	f.Add(v6, false)
+	f.Fuzz(func(t *testing.T, b []byte, four bool) {
+		protocol, first := EtherIPv6, layers.LayerTypeIPv6
+		if four {
+			protocol, first = EtherIPv4, layers.LayerTypeIPv4
+		}
+		p, fault := ReadInner(b, protocol)
+		if fault != FaultNone {
+			return
+		}
+		read := gopacket.NewPacket(b, first, gopacket.DecodeOptions{NoCopy: true})
+		if tcp, ok := read.Layer(layers.LayerTypeTCP).(*layers.TCP); ok {
+			if uint16(tcp.SrcPort) != p.Key.CallerPort || tcp.Seq != p.Sequence || (tcp.SYN && !tcp.ACK) != p.Opening {
+				t.Fatalf("%+v is not %+v", p, tcp)
+			}
+		}
+		if udp, ok := read.Layer(layers.LayerTypeUDP).(*layers.UDP); ok && uint16(udp.DstPort) != p.Key.AddressPort {
+			t.Fatalf("%+v is not %+v", p, udp)
+		}
+	})
+}
+
+func FuzzGeneve(f *testing.F) {
+	f.Add(AppendGeneve(nil, true, EtherNone, 7, Option{Class: 1, Type: 2, Data: make([]byte, 8)}))
+	f.Add([]byte{0xff, 0xff, 8, 0, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		g, fault := ReadGeneve(b)
+		if fault == FaultNone && len(g.Options)+len(g.Payload)+GeneveHeaderSize != len(b) {
+			t.Fatal("bytes were lost")
+		}
+		FindOption(g.Options, 0xffff, 0xff)
+	})
+}
+
+func TestFaults(t *testing.T) {
+	is := is.New(t)
+	whole := []byte{0x45, 0, 0, 40, 0, 0, 0, 0, 64, 6, 0, 0, 198, 51, 100, 1, 192, 0, 2, 1, 1, 2, 3, 4, 0, 0, 0, 7, 0, 0, 0, 0, 0x50, 2, 0, 0, 0, 0, 0, 0}
+	_, fault := ReadInner(whole, EtherIPv4)
+	is.Equal(fault, FaultNone)
+	for n := range whole {
+		_, fault := ReadInner(whole[:n], EtherIPv4)
+		is.True(fault != FaultNone) // truncated anywhere
+	}
+	change := func(at int, to byte) Fault {
+		b := append([]byte(nil), whole...)
+		b[at] = to
+		_, fault := ReadInner(b, EtherIPv4)
+		return fault
+	}
+	is.Equal(change(6, 0x20), FaultFragment)
+	is.Equal(change(0, 0x41), FaultHeaderLength)
+	is.Equal(change(0, 0x65), FaultAddressFamily)
+	is.Equal(change(9, 50), FaultTransport)
+	is.Equal(change(32, 0x10), FaultHeaderLength)
+	is.Equal(change(33, 0x03), FaultFlags)
+	_, fault = ReadGeneve([]byte{0x01, 0x40, 8, 0, 0, 0, 0, 0, 1, 2, 0x80, 0})
+	is.Equal(fault, FaultCritical)
+	is.Equal(fault.Name(), "critical-option")
+}
--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,127 @@
+package planner
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func service(name, ip string) *Service {
+	return &Service{Name: name, Jobs: []string{name}, Addresses: []Address{{IP: netip.MustParseAddr(ip), Port: 80, Protocol: TCP}}}
+}
+
+// operate applies commands at rising positions.
+type operate struct {
+	m     *Machine
+	index uint64
+}
+
+func (o *operate) apply(c Command) Answer {
+	o.index++
+	return o.m.Apply(o.index, c)
+}
+
+func (o *operate) state(i Intent) Answer { return o.apply(Command{State: &StateIntent{Intent: i}}) }
+
+func (o *operate) confirm(plan string, inForce uint64) Answer {
+	return o.apply(Command{Confirm: &ConfirmPlan{Plan: plan, InForce: inForce}})
+}
+
+func newOperate() *operate { return &operate{m: NewMachine()} }
+
+func TestTwoOperatorsWithEqualBases(t *testing.T) {
+	is := is.New(t)
+	o := newOperate()
+	one := o.state(Intent{ID: "a", Action: AddService, Service: service("menus", "192.0.2.1")}).Plan
+	two := o.state(Intent{ID: "b", Action: AddService, Service: service("packs", "192.0.2.2")}).Plan
+	is.Equal(one.Base, two.Base)
+	is.True(one.ID != two.ID)
+	is.True(o.confirm(one.ID, 0).Plan.Confirmed > 0)
+	refusal := o.confirm(two.ID, 0).Refusal
+	is.Equal(refusal.Code, CodeStalePlan)
+	is.True(refusal.Fresh.ID != two.ID)
+	is.True(o.confirm(refusal.Fresh.ID, 0).Plan.Confirmed > 0)
+	is.Equal(len(o.m.Config().Services), 2)
+}
+
+func TestResentIntentAndConfirmationGetTheSameAnswer(t *testing.T) {
+	is := is.New(t)
+	o := newOperate()
+	i := Intent{ID: "a", Action: AddService, Service: service("menus", "192.0.2.1")}
+	first := o.state(i)
+	is.Equal(o.state(i), first)
+	done := o.confirm(first.Plan.ID, 0)
+	is.Equal(o.confirm(first.Plan.ID, 0), done)
+	is.Equal(o.state(i).Plan.Confirmed, done.Plan.Confirmed) // after a restart of the operator, too
+	snapshot, err := o.m.Snapshot()
+	is.NoErr(err)
+	restored := &operate{m: NewMachine(), index: o.index}
+	is.NoErr(restored.m.Restore(snapshot))
+	is.Equal(restored.confirm(first.Plan.ID, 0).Plan.Confirmed, done.Plan.Confirmed)
+	other := i
+	other.Service = service("menus", "192.0.2.9")
+	is.Equal(o.state(other).Refusal.Code, CodeIntentReused)
+}
+
+func TestFenceOnReuseOfAnAddress(t *testing.T) {
+	is := is.New(t)
+	o := newOperate()
+	o.confirm(o.state(Intent{ID: "a", Action: AddService, Service: service("menus", "192.0.2.1")}).Plan.ID, 0)
+	gone := o.confirm(o.state(Intent{ID: "b", Action: RemoveService, Name: "menus"}).Plan.ID, 0).Plan
+	plan := o.state(Intent{ID: "c", Action: AddService, Service: service("packs", "192.0.2.1")}).Plan
+	is.Equal(len(plan.Waits), 1)
+	is.Equal(o.confirm(plan.ID, gone.Confirmed-1).Refusal.Code, CodeWaitsForFence) // a stale instance is left
+	is.True(o.confirm(plan.ID, gone.Confirmed).Plan.Confirmed > 0)
+}
+
+func TestBadInputNamesTheFieldAndChangesNothing(t *testing.T) {
+	epsilon := service("menus", "192.0.2.1")
+	epsilon.Epsilon = 7
+	port := service("menus", "192.0.2.1")
+	port.Addresses[0].Port = 0
+	for field, i := range map[string]Intent{
+		"name":           {ID: "a", Action: AddService, Service: service("bad name", "192.0.2.1")},
+		"epsilon":        {ID: "a", Action: AddService, Service: epsilon},
+		"addresses.port": {ID: "a", Action: AddService, Service: port},
+		"action":         {ID: "a", Action: "explode"},
+		"id":             {ID: "", Action: Drain, Name: "127.0.0.1:1"},
+		"service":        {ID: "a", Action: AddService},
+	} {
+		is := is.New(t)
+		o := newOperate()
+		refusal := o.state(i).Refusal
+		is.Equal(refusal.Code, CodeBadField)
+		is.Equal(refusal.Field, field)
+		is.True(refusal.Allowed != "")
+		is.Equal(o.m.Config().Revision, uint64(0))
+	}
+}
+
+func TestNamesAndAddressesBelongToOneService(t *testing.T) {
+	is := is.New(t)
+	o := newOperate()
+	o.confirm(o.state(Intent{ID: "a", Action: AddService, Service: service("menus", "192.0.2.1")}).Plan.ID, 0)
+	is.Equal(o.state(Intent{ID: "b", Action: AddService, Service: service("packs", "192.0.2.1")}).Refusal.Code, CodeTaken)
+	named := service("packs", "192.0.2.2")
+	named.Names = []string{"menus"}
+	is.Equal(o.state(Intent{ID: "c", Action: AddService, Service: named}).Refusal.Code, CodeTaken)
+	is.Equal(o.state(Intent{ID: "d", Action: RemoveVoter, Name: "i1"}).Refusal.Code, CodeNotFound)
+}
+
+func TestMemoryIsBoundedAndAnOldPositionChangesNothing(t *testing.T) {
+	is := is.New(t)
+	o := newOperate()
+	for i := range MemoryLimit + 50 {
+		o.state(Intent{ID: fmt.Sprint("x", i), Action: Undrain, Name: "127.0.0.1:1"})
+	}
+	is.Equal(len(o.m.intents), MemoryLimit)
+	is.True(len(o.m.plans) <= MemoryLimit)
+	before := o.m.Config()
+	o.m.Apply(1, Command{Register: &Register{Instances: []string{"i9"}}})
+	is.Equal(o.m.Config(), before)
+	var refusal *Refusal
+	is.True(errors.As(Command{}.Validate(), &refusal))
+}
