--- a/measurer/report.go
+++ b/measurer/report.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"almondpick/picker"
 )
 
 // cause is why a flow broke.
@@ -144,9 +146,6 @@
 	return most / mean, math.Sqrt(square/float64(len(counts))) / mean
 }
 
-// entryBytes is the size of one flow in the table with its share of the index.
-const entryBytes = 120
-
 // finish sums the run up.
 func (s *sim) finish() Report {
 	r := s.report
@@ -173,7 +172,7 @@
 		}
 	}
 	r.Tracked /= float64(max(1, running))
-	r.FlowBytes = entryBytes
+	r.FlowBytes = float64(picker.EntrySize())
 	r.Exceptions = share(float64(exceptions), float64(opened))
 	r.RelayedShare = share(float64(r.relayed), float64(r.packets))
 	r.AskedShare = share(float64(asked), float64(r.packets))
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -462,3 +463,26 @@
 		i++
 	}
 }
+
+// BenchmarkMemory reports the heap that one owned flow takes, at several sizes.
+func BenchmarkMemory(b *testing.B) {
+	for _, flows := range []int{20000, 100000, 500000} {
+		b.Run(fmt.Sprint(flows), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				g := newGroup(1, menus(18))
+				p := g.pickers[g.ids[0]]
+				for i := range flows {
+					one := syn(i)
+					one.Key.CallerPort = uint16(i >> 16)
+					p.Packet(g.now, &one)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(p.Sizes().Owned), "bytes/flow")
+			}
+		})
+	}
+}
--- a/picker/table.go
+++ b/picker/table.go
@@ -1,6 +1,9 @@
 package picker
 
-import "time"
+import (
+	"reflect"
+	"time"
+)
 
 // kind says by what right an entry is in the table.
 type kind uint8
@@ -42,6 +45,12 @@
 	return e.flags&flag != 0
 }
 
+// EntrySize returns the size of one flow in the table without its share of the index,
+// in bytes.
+func EntrySize() int {
+	return int(reflect.TypeFor[entry]().Size())
+}
+
 // list is the recency list of one kind: newest first, linked by slot number.
 type list struct {
 	newest, oldest int32
