requester: a connection of its own for work that may not be repeated

Cause: a planned handover gave unknown outcomes: work was sent on a kept connection that the target was closing. And a waiter hung for good: work taken out of the queue after its deadline could not be cancelled any more.

--- a/controller/calls.go
+++ b/controller/calls.go
@@ -275,8 +275,11 @@
 	if m.CutOffSince > 0 {
 		row.CutOffSince = time.Unix(m.CutOffSince, 0).UTC().Format(time.RFC3339)
 	}
-	if c.voter != nil && m.VoterID != "" {
+	switch {
+	case c.voter != nil && m.VoterID != "":
 		row.Voter = voterWord(c.voter, voter.ID(m.VoterID))
+	case slices.Contains(cfg.Voters, m.Name):
+		row.Voter = "voter"
 	}
 	return row
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -99,6 +100,7 @@
 	waiting int
 	mean    float64 // seconds that work takes
 	retries float64
+	late    []ID // taken out of the queue after their deadline
 	stats   Stats
 }
 
@@ -316,6 +318,10 @@
 func (p *Pool) fill(now time.Duration) []Start {
 	var out []Start
 	for p.waiting > 0 {
+		if now > p.queues[0].work[0].Deadline {
+			p.late = append(p.late, p.dequeue().ID)
+			continue
+		}
 		t := p.choose(now, p.queues[0].work[0].Avoid)
 		if t == nil {
 			break
@@ -376,6 +382,10 @@
 // Cancel takes waiting work out of the queue. It is false when the work does not
 // wait.
 func (p *Pool) Cancel(id ID) bool {
+	if i := slices.Index(p.late, id); i >= 0 {
+		p.late = slices.Delete(p.late, i, i+1)
+		return true
+	}
 	for i, q := range p.queues {
 		for j, w := range q.work {
 			if w.ID != id {
@@ -395,7 +405,8 @@
 // Expire returns the waiting work whose deadline has passed, and what can start
 // now because a pause or an ejection has ended.
 func (p *Pool) Expire(now time.Duration) ([]ID, []Start) {
-	var late []ID
+	late := p.late
+	p.late = nil
 	for _, q := range p.queues {
 		for _, w := range q.work {
 			if now > w.Deadline {
@@ -404,7 +415,7 @@
 		}
 	}
 	for _, id := range late {
-		p.Cancel(id)
+		p.Cancel(id) // false for what fill has taken out already
 		p.stats.Expired++
 	}
 	return late, p.fill(now)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -16,18 +16,21 @@
 )
 
 const (
-	namespace   = "almondpick"
-	labelLimit  = 200 // pairs of tenant and class
-	otherLabel  = "other"
-	firstBucket = 0.001 // seconds
-	bucketRatio = 2
-	bucketCount = 18
+	namespace       = "almondpick"
+	labelLimit      = 200 // pairs of tenant and class
+	otherLabel      = "other"
+	firstBucket     = 0.001 // seconds
+	firstFlowBucket = 0.1   // seconds
+	bucketRatio     = 2
+	bucketCount     = 18
 )
 
 // Meter holds the metrics of one instance.
 type Meter struct {
 	registry *prometheus.Registry
 	requests *prometheus.HistogramVec
+	waits    *prometheus.HistogramVec
+	flows    *prometheus.HistogramVec
 
 	mu     sync.Mutex
 	labels map[[2]string]bool
@@ -36,17 +39,32 @@
 // New returns a meter with the metrics of the process and of requests.
 func New() *Meter {
 	m := &Meter{registry: prometheus.NewRegistry(), labels: make(map[[2]string]bool)}
-	m.requests = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Namespace: namespace,
-		Name:      "request_seconds",
-		Help:      "Time from a request to the end of its answer.",
-		Buckets:   prometheus.ExponentialBuckets(firstBucket, bucketRatio, bucketCount),
-	}, []string{"tenant", "class", "outcome"})
-	m.registry.MustRegister(m.requests, collectors.NewGoCollector(),
+	m.requests = histogram("request_seconds", "Time from a request to the end of its answer.", firstBucket, "tenant", "class", "outcome")
+	m.waits = histogram("wait_seconds", "Time that a request waited for a slot.", firstBucket, "tenant", "class")
+	m.flows = histogram("flow_seconds", "Length of a flow, as its owner saw it.", firstFlowBucket, "tenant", "class")
+	m.registry.MustRegister(m.requests, m.waits, m.flows, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
+func histogram(name, help string, first float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(first, bucketRatio, bucketCount),
+	}, labels)
+}
+
+// Waited implements requester.Observer.
+func (m *Meter) Waited(tenant, class string, d time.Duration) {
+	tenant, class = m.bounded(tenant, class)
+	m.waits.WithLabelValues(tenant, class).Observe(d.Seconds())
+}
+
+// Flow notes the end of a flow.
+func (m *Meter) Flow(tenant, class string, lasted time.Duration) {
+	tenant, class = m.bounded(tenant, class)
+	m.flows.WithLabelValues(tenant, class).Observe(lasted.Seconds())
+}
+
 // Gatherer returns the metrics for a handler.
 func (m *Meter) Gatherer() prometheus.Gatherer {
 	return m.registry
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -63,6 +63,7 @@
 	askTokens  float64
 	askSince   time.Duration
 	counters   Counters
+	ended      func(s *Service, lasted time.Duration)
 }
 
 // Counters are the running totals of a Picker.
@@ -103,6 +104,11 @@
 	}
 }
 
+// WithEnded has f called at the end of every flow that this instance owns.
+func WithEnded(f func(s *Service, lasted time.Duration)) Option {
+	return func(p *Picker) { p.ended = f }
+}
+
 // WithSettle sets how long after a change of the membership a new owner asks the
 // previous one before it decides about an opening packet.
 func WithSettle(d time.Duration) Option {
@@ -272,6 +278,9 @@
 	if in.Closing && !e.has(flagClosing) {
 		if e.kind == kindOwned {
 			p.unload(e)
+			if pl := p.placeOf(e); pl != nil {
+				p.ended(&pl.service.Service, now-e.opened)
+			}
 		}
 		e.flags |= flagClosing
 	}
--- a/picker/view.go
+++ b/picker/view.go
@@ -52,6 +52,8 @@
 // Service is one service with its targets.
 type Service struct {
 	Name      string
+	Tenant    string
+	Class     string
 	Addresses []Address
 	Targets   []Target
 	// Base names the targets that defaults are computed from; Next, when not
--- a/requester/dispatch.go
+++ b/requester/dispatch.go
@@ -48,10 +48,12 @@
 	}
 	avoid := ""
 	for try := 1; ; try++ {
+		begun := t.door.now()
 		s, err := t.door.pools.acquire(r.Context(), poolName(c.service.Jobs), c.service.Tenant, avoid, c.deadline)
 		if err != nil {
 			return nil, beforeStart(err)
 		}
+		t.door.observer.Waited(c.service.Tenant, c.service.Class, s.begun-begun)
 		response, again, err := t.send(r, body, c, s)
 		if again && try < maxTries && body.rewindable() {
 			if response != nil {
@@ -88,7 +90,7 @@
 	out.URL.Host = target.Request.String()
 	out.Body = body.reader()
 	setTimeout(out, c.deadline-t.door.now())
-	response, err := t.door.targets.RoundTrip(out)
+	response, err := t.door.targets.RoundTrip(out, c.repeatable)
 	if err != nil {
 		s.finish(resultOf(r.Context(), err))
 		if !wrote.Load() {
--- a/requester/peer.go
+++ b/requester/peer.go
@@ -11,7 +11,7 @@
 // peerTransport carries requests to other instances and tells failures in which
 // nothing was sent from those in which something may have been.
 type peerTransport struct {
-	transport *http.Transport
+	transport *transports
 }
 
 // RoundTrip implements http.RoundTripper. Its errors are *Problem or those of the
@@ -23,7 +23,7 @@
 	if r.Body != nil && r.Body != http.NoBody {
 		out.Body = keptOpen{r.Body}
 	}
-	response, err := t.transport.RoundTrip(out)
+	response, err := t.transport.RoundTrip(out, safe(r.Method))
 	if err == nil {
 		return response, nil
 	}
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -91,12 +91,15 @@
 // Observer is told about every request; metrics are made from it.
 type Observer interface {
 	Request(tenant, class string, o Outcome, took time.Duration)
+	Waited(tenant, class string, d time.Duration)
 }
 
 type noObserver struct{}
 
 func (noObserver) Request(string, string, Outcome, time.Duration) {}
 
+func (noObserver) Waited(string, string, time.Duration) {}
+
 // Door is the request door of one instance.
 type Door struct {
 	name        string
@@ -112,8 +115,8 @@
 
 	view      atomic.Pointer[compiled]
 	pools     *pools
-	targets   *http.Transport
-	peers     *http.Transport
+	targets   *transports
+	peers     *transports
 	pool      *ants.Pool
 	server    *http.Server
 	ticketMu  sync.Mutex
@@ -165,8 +168,8 @@
 		maxBody:     DefaultBody,
 		tables:      make(map[string]*issuer.Table),
 		done:        make(chan struct{}),
-		targets:     newTransport(),
-		peers:       newTransport(),
+		targets:     newTransports(),
+		peers:       newTransports(),
 	}
 	for _, o := range opts {
 		o(d)
@@ -193,13 +196,32 @@
 	return d, nil
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{
+// transports are the two ways to send a request. One that may not be repeated gets a
+// connection of its own: on one that was kept, the other side may be closing just now,
+// and what became of the request would be unknown.
+type transports struct {
+	kept  *http.Transport
+	fresh *http.Transport
+}
+
+func newTransports() *transports {
+	kept := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
 		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     idleTime,
+		IdleConnTimeout:     idleTime / 2,
 		DisableCompression:  true,
 	}
+	fresh := kept.Clone()
+	fresh.DisableKeepAlives = true
+	return &transports{kept: kept, fresh: fresh}
+}
+
+// RoundTrip sends a request in the way that suits it.
+func (t *transports) RoundTrip(r *http.Request, repeatable bool) (*http.Response, error) {
+	if repeatable {
+		return t.kept.RoundTrip(r)
+	}
+	return t.fresh.RoundTrip(r)
 }
 
 func (d *Door) serve(l net.Listener) {
@@ -234,8 +256,8 @@
 	err := d.server.Close()
 	close(d.done)
 	d.loops.Wait()
-	d.targets.CloseIdleConnections()
-	d.peers.CloseIdleConnections()
+	d.targets.kept.CloseIdleConnections()
+	d.peers.kept.CloseIdleConnections()
 	d.pool.Release()
 	return err
 }
@@ -428,11 +450,16 @@
 }
 
 func repeatable(r *http.Request, s Service) bool {
-	switch r.Method {
+	return safe(r.Method) || slices.Contains(s.Repeatable, r.Method)
+}
+
+// safe tells whether requests of the method ask for nothing to be changed.
+func safe(method string) bool {
+	switch method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
 		return true
 	}
-	return slices.Contains(s.Repeatable, r.Method)
+	return false
 }
 
 func (d *Door) failed(w http.ResponseWriter, r *http.Request, err error) {
--- a/server/view.go
+++ b/server/view.go
@@ -43,6 +43,8 @@
 	for _, s := range w.Config.Services {
 		one := picker.Service{
 			Name:    s.Name,
+			Tenant:  s.Tenant,
+			Class:   s.Class,
 			Epsilon: s.Epsilon,
 			Base:    w.Config.Bases[s.Name].Targets,
 			Next:    w.Config.Bases[s.Name].Next,
