controller: fewer ticks, and commits that go out at once

Cause: an idle instance of seven spent 1.3 to 1.9% of a core; 1.2% are allowed. Change: the control goroutine ticks every 50 ms in place of 20; what a follower's answer commits is sent on at once, not at the next tick.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -51,7 +51,7 @@
 
 // Times of the control goroutine.
 const (
-	tickEvery     = 20 * time.Millisecond
+	tickEvery     = 50 * time.Millisecond
 	choresEvery   = 250 * time.Millisecond
 	probation     = 1500 * time.Millisecond
 	readyAnyway   = 3 * time.Second
@@ -310,6 +310,7 @@
 		for _, m := range messages {
 			c.voter.Step(c.now(), m)
 		}
+		c.voter.Tick(c.now()) // what has just been committed goes out at once
 	})
 }
 
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -35,7 +35,7 @@
 	headerTime     = 10 * time.Second
 	idleTime       = 2 * time.Minute
 	dialTime       = time.Second
-	expireEvery    = 20 * time.Millisecond
+	expireEvery    = 50 * time.Millisecond
 	maxTimeout     = time.Hour
 	maxHops        = 3
 )
