gossiper: repeat the report of a new version

Cause: a report that was lost came again only after 30 s, so a version could count as not in force for longer than the 11 s that are allowed; seen at 330 instances. Change: a report is repeated twice, 2 s apart.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -32,6 +32,8 @@
 	syncEvery       = 2 * time.Second
 	maxSyncMessages = 4
 	reportEvery     = 30 * time.Second
+	reportAgain     = 2 * time.Second
+	reportTimes     = 2
 	versionFanout   = 3 // instances that are told of a new version at random
 )
 
@@ -72,6 +74,7 @@
 	nextReport  time.Duration
 	watchers    []string
 	fresh       bool   // the version has just changed
+	repeats     int    // reports of it that are still to be repeated soon
 	newest      string // member with the highest version, "" for none above self
 	round       []string
 	probes      []probe
--- a/gossiper/version.go
+++ b/gossiper/version.go
@@ -13,6 +13,7 @@
 	}
 	g.self.Version = v
 	g.nextReport = 0
+	g.repeats = reportTimes
 	g.fresh = true
 	g.revision++
 }
@@ -34,6 +35,10 @@
 		return
 	}
 	g.nextReport = now + reportEvery
+	if g.repeats > 0 {
+		g.repeats--
+		g.nextReport = now + reportAgain // the report may have been lost
+	}
 	if g.fresh {
 		g.fresh = false
 		for _, to := range g.anyAlive(versionFanout) {
