--- a/picker/picker.go
+++ b/picker/picker.go
@@ -127,6 +127,7 @@
 		view:       NewView(0, nil, nil),
 		generation: 1,
 		loads:      make(map[PlaceID]int),
+		ended:      func(*Service, time.Duration) {},
 		settle:     DefaultSettle,
 		renewal:    DefaultRenewal,
 		askRate:    DefaultAskRate,
