keyer, announcer: tests of rotation and of announcements

Cause: rotation without a restart, lost targets, fences and bad announcements were not held by tests.

--- /dev/null
+++ b/announcer/announcer_test.go
@@ -0,0 +1,125 @@
+package announcer
+
+import (
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondpick/gossiper"
+)
+
+// spreader keeps what was published.
+type spreader struct{ records []gossiper.Record }
+
+func (s *spreader) Publish(r gossiper.Record) bool {
+	s.records = append(s.records, r)
+	return true
+}
+
+func alive(string) bool { return true }
+
+func announcement(sequence uint64, change func(*Announcement)) Announcement {
+	a := Announcement{
+		Endpoint: netip.MustParseAddrPort("10.0.0.1:6081"), Job: "menus", DataCentre: "dc1", Slots: 3, Incarnation: 1, Sequence: sequence,
+	}
+	if change != nil {
+		change(&a)
+	}
+	return a
+}
+
+func only(r *Registry) Target {
+	var out Target
+	r.Targets(func(t Target) { out = t })
+	return out
+}
+
+const second = time.Second
+
+func TestOnlyNewsIsSpread(t *testing.T) {
+	is := is.New(t)
+	r, s := NewRegistry("i1"), &spreader{}
+	for n := range uint64(30) {
+		is.NoErr(r.Announce(time.Duration(n)*second, announcement(n, nil), s))
+	}
+	is.Equal(len(s.records), 1)
+	is.NoErr(r.Announce(30*second, announcement(30, func(a *Announcement) { a.State = Draining }), s))
+	is.Equal(len(s.records), 2)
+	other := NewRegistry("i2")
+	for _, record := range s.records {
+		other.Learn(31*second, record)
+	}
+	is.True(!only(other).Fit(31 * second)) // a leaving target gets no new work here either
+	other.Learn(32*second, s.records[0])   // late and older
+	is.Equal(only(other).State, Draining)
+}
+
+func TestSilentTargetIsLostAndComesBack(t *testing.T) {
+	is := is.New(t)
+	r, s := NewRegistry("i1"), &spreader{}
+	is.NoErr(r.Announce(0, announcement(1, nil), s))
+	r.Tick(2*second, alive, s)
+	is.True(only(r).Fit(2 * second))
+	r.Tick(4*second, alive, s)
+	is.True(!only(r).Fit(4 * second))
+	is.Equal(s.records[1].Rank, gossiper.RankSuspect)
+	is.NoErr(r.Announce(5*second, announcement(2, nil), s))
+	is.True(only(r).Fit(5 * second))
+}
+
+func TestTargetsOfADeadHomeAreLostAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	home, s := NewRegistry("i1"), &spreader{}
+	is.NoErr(home.Announce(0, announcement(1, nil), s))
+	r := NewRegistry("i2")
+	r.Learn(0, s.records[0])
+	dead := func(name string) bool { return name != "i1" }
+	r.Tick(second, alive, s)
+	r.Tick(4*second, dead, s)
+	is.True(only(r).Fit(4 * second)) // it may announce itself to another instance
+	r.Tick(7*second, dead, s)
+	is.True(!only(r).Fit(7 * second))
+}
+
+func TestEndpointWithAnotherJobIsFenced(t *testing.T) {
+	is := is.New(t)
+	r, s := NewRegistry("i1"), &spreader{}
+	is.NoErr(r.Announce(0, announcement(1, nil), s))
+	is.NoErr(r.Announce(second, announcement(2, func(a *Announcement) { a.Job = "packs"; a.Incarnation = 2 }), s))
+	is.True(!only(r).Fit(2 * second))
+	is.True(only(r).Fit(second + Quarantine))
+}
+
+func TestBadAnnouncementsNameTheField(t *testing.T) {
+	for field, change := range map[string]func(*Announcement){
+		"endpoint": func(a *Announcement) { a.Endpoint = netip.AddrPort{} },
+		"job":      func(a *Announcement) { a.Job = "bad job" },
+		"slots":    func(a *Announcement) { a.Slots = -1 },
+		"load":     func(a *Announcement) { a.Load = -1 },
+		"state":    func(a *Announcement) { a.State = 77 },
+	} {
+		is := is.New(t)
+		r := NewRegistry("i1")
+		var bad *FieldError
+		is.True(errors.As(r.Announce(0, announcement(1, change), &spreader{}), &bad))
+		is.Equal(bad.Field, field)
+	}
+}
+
+func FuzzAnnouncement(f *testing.F) {
+	b, err := json.Marshal(announcement(1, nil))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		var a Announcement
+		if json.Unmarshal(b, &a) == nil {
+			_ = NewRegistry("i1").Announce(0, a, &spreader{})
+		}
+	})
+}
--- /dev/null
+++ b/keyer/keyer_test.go
@@ -0,0 +1,84 @@
+package keyer
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+type fakeClock struct{ now time.Time }
+
+func (c *fakeClock) Now() time.Time { return c.now }
+
+// serial connects once and returns the serial number and role that the server showed.
+func serialOf(is *is.I, server, client *tls.Config) (string, Role) {
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	shown := make(chan Role, 1)
+	go func() {
+		s := tls.Server(a, server)
+		if s.Handshake() != nil {
+			shown <- ""
+			return
+		}
+		role, _ := RoleOf(s.ConnectionState())
+		shown <- role
+	}()
+	config := client.Clone()
+	config.ServerName = "127.0.0.1"
+	c := tls.Client(b, config)
+	is.NoErr(c.Handshake())
+	return c.ConnectionState().PeerCertificates[0].SerialNumber.String(), <-shown
+}
+
+func TestRotationNeedsNoRestart(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	clock := &fakeClock{now: time.Unix(1_800_000_000, 0)}
+	is.NoErr(Init(folder, clock.now))
+	issue := func(name string, role Role) *tls.Config {
+		is.NoErr(Issue(folder, name, role, []string{"127.0.0.1"}, clock.now, time.Hour))
+		c, err := Load(Files{
+			Authority: filepath.Join(folder, AuthorityFile), Cert: filepath.Join(folder, name+".crt"), Key: filepath.Join(folder, name+".key"),
+		}, clock)
+		is.NoErr(err)
+		return c
+	}
+	server, client := issue("i1", RoleInstance), issue("alice", RoleOperator)
+	before, role := serialOf(is, server, client)
+	is.Equal(role, RoleOperator)
+	clock.now = clock.now.Add(time.Minute)
+	is.NoErr(Issue(folder, "i1", RoleInstance, []string{"127.0.0.1"}, clock.now, time.Hour))
+	later := time.Now().Add(time.Minute) // a file system with coarse times must not hide the change
+	is.NoErr(os.Chtimes(filepath.Join(folder, "i1.crt"), later, later))
+	after, _ := serialOf(is, server, client)
+	is.True(before != after)
+	is.NoErr(os.WriteFile(filepath.Join(folder, "i1.crt"), []byte("damaged"), 0o600))
+	clock.now = clock.now.Add(time.Minute)
+	still, _ := serialOf(is, server, client) // the old certificate stays in use
+	is.Equal(still, after)
+}
+
+func TestKeysAreNotReplacedOrGuessed(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	now := time.Unix(1_800_000_000, 0)
+	is.NoErr(Init(folder, now))
+	var exists *ExistsError
+	is.True(errors.As(Init(folder, now), &exists))
+	var role *RoleError
+	is.True(errors.As(Issue(folder, "x", "king", nil, now, time.Hour), &role))
+	key, err := GroupKey(filepath.Join(folder, GroupKeyFile))
+	is.NoErr(err)
+	is.Equal(len(key), 32)
+	var format *FormatError
+	_, err = GroupKey(filepath.Join(folder, AuthorityFile))
+	is.True(errors.As(err, &format))
+}
