--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -11,7 +11,7 @@
 
 const (
 	defaultBudget = 3 << 10 // bytes a second
-	houseEvery    = 100 * time.Millisecond
+	houseEvery    = 250 * time.Millisecond
 	syncEvery     = 500 * time.Millisecond // to each member
 	syncOverhead  = 64                     // bytes of a datagram beside its records
 )
