--- a/cmd/almondpick/operate.go
+++ b/cmd/almondpick/operate.go
@@ -71,21 +71,38 @@
 	return c.printAnswer(a)
 }
 
-func statusCommand() *command {
+// question returns a command that asks an instance something and prints the answer.
+func question[T any](name, synopsis string, ask func(messenger.OperatorClient, context.Context) (*T, error), text func(*T)) *command {
 	return &command{
-		name: "status", synopsis: "show the instances and what is in force", usage: "status [flags]",
+		name: name, synopsis: synopsis, usage: name + " [flags]",
 		run: func(ctx context.Context, c *client, remote messenger.OperatorClient, _ []string) subcommands.ExitStatus {
 			ctx, cancel := context.WithTimeout(ctx, c.timeout)
 			defer cancel()
-			s, err := remote.Status(ctx)
+			answer, err := ask(remote, ctx)
 			if err != nil {
 				return fail(exitFailed, err)
 			}
-			return c.print(s, func() { printStatus(s) })
+			return c.print(answer, func() { text(answer) })
 		},
 	}
 }
 
+func statusCommand() *command {
+	return question("status", "show the instances and what is in force", messenger.OperatorClient.Status, printStatus)
+}
+
+func historyCommand() *command {
+	return question("history", "list the confirmed plans", messenger.OperatorClient.History, printHistory)
+}
+
+func targetsCommand() *command {
+	return question("targets", "list the targets", messenger.OperatorClient.Targets, printTargets)
+}
+
+func servicesCommand() *command {
+	return question("services", "list the services", messenger.OperatorClient.Services, printServices)
+}
+
 func printStatus(s *messenger.Status) {
 	inForce := "in force on every live instance"
 	if !s.InForce {
@@ -101,22 +118,9 @@
 	_ = w.Flush() // nobody to tell when the terminal is gone
 }
 
-func historyCommand() *command {
-	return &command{
-		name: "history", synopsis: "list the confirmed plans", usage: "history [flags]",
-		run: func(ctx context.Context, c *client, remote messenger.OperatorClient, _ []string) subcommands.ExitStatus {
-			ctx, cancel := context.WithTimeout(ctx, c.timeout)
-			defer cancel()
-			list, err := remote.History(ctx)
-			if err != nil {
-				return fail(exitFailed, err)
-			}
-			return c.print(list, func() {
-				for _, p := range list.Plans {
-					fmt.Printf("version %d: %s %s (intent %s, plan %s)\n", p.Confirmed, p.Intent.Action, subject(p.Intent), p.Intent.ID, p.ID)
-				}
-			})
-		},
+func printHistory(list *messenger.PlanList) {
+	for _, p := range list.Plans {
+		fmt.Printf("version %d: %s %s (intent %s, plan %s)\n", p.Confirmed, p.Intent.Action, subject(p.Intent), p.Intent.ID, p.ID)
 	}
 }
 
@@ -127,46 +131,20 @@
 	return i.Name
 }
 
-func targetsCommand() *command {
-	return &command{
-		name: "targets", synopsis: "list the targets", usage: "targets [flags]",
-		run: func(ctx context.Context, c *client, remote messenger.OperatorClient, _ []string) subcommands.ExitStatus {
-			ctx, cancel := context.WithTimeout(ctx, c.timeout)
-			defer cancel()
-			list, err := remote.Targets(ctx)
-			if err != nil {
-				return fail(exitFailed, err)
-			}
-			return c.print(list, func() {
-				w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-				fmt.Fprintln(w, "target\tjob\tdata centre\tstate\tdrained\tfit\tslots\tflows\tload\thome")
-				for _, t := range list.Targets {
-					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\t%v\t%d\t%d\t%.2f\t%s\n",
-						t.Endpoint, t.Job, t.DataCentre, t.State, t.Drained, t.Fit, t.Slots, t.Connections, t.Load, t.Home)
-				}
-				_ = w.Flush() // as above
-			})
-		},
+func printTargets(list *messenger.TargetList) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "target\tjob\tdata centre\tstate\tdrained\tfit\tslots\tflows\tload\thome")
+	for _, t := range list.Targets {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\t%v\t%d\t%d\t%.2f\t%s\n",
+			t.Endpoint, t.Job, t.DataCentre, t.State, t.Drained, t.Fit, t.Slots, t.Connections, t.Load, t.Home)
 	}
+	_ = w.Flush() // nobody to tell when the terminal is gone
 }
 
-func servicesCommand() *command {
-	return &command{
-		name: "services", synopsis: "list the services", usage: "services [flags]",
-		run: func(ctx context.Context, c *client, remote messenger.OperatorClient, _ []string) subcommands.ExitStatus {
-			ctx, cancel := context.WithTimeout(ctx, c.timeout)
-			defer cancel()
-			list, err := remote.Services(ctx)
-			if err != nil {
-				return fail(exitFailed, err)
-			}
-			return c.print(list, func() {
-				for _, s := range list.Services {
-					fmt.Printf("%s: names %s; jobs %s; addresses %v; tenant %s, class %s; epsilon %g, max-wait %v, idle %v\n",
-						s.Name, strings.Join(s.Names, ","), strings.Join(s.Jobs, ","), s.Addresses, s.Tenant, s.Class, s.Epsilon, s.MaxWait, s.Idle)
-				}
-			})
-		},
+func printServices(list *messenger.ServiceList) {
+	for _, s := range list.Services {
+		fmt.Printf("%s: names %s; jobs %s; addresses %v; tenant %s, class %s; epsilon %g, max-wait %v, idle %v\n",
+			s.Name, strings.Join(s.Names, ","), strings.Join(s.Jobs, ","), s.Addresses, s.Tenant, s.Class, s.Epsilon, s.MaxWait, s.Idle)
 	}
 }
 
