picker: an owner claims completeness only with what others streamed to it

A trace showed that the old owner's records still waited for their budget when the new owner claimed to know all exceptions of its flows; a third member then derived the flow. Change: a message also says whether its sender has the streams of all others since the last change of ownership; only then may absence be taken for a record. A test plays the case.

--- a/messenger/sync.go
+++ b/messenger/sync.go
@@ -25,6 +25,7 @@
 	Sequence uint64
 	Echo     uint64
 	LagMilli int64 // rounded up; negative where the stream is not complete
+	Claims   bool
 	View     uint64
 	Records  []byte
 }
@@ -61,12 +62,12 @@
 		b = binary.BigEndian.AppendUint64(b, r.Hash)
 		b = binary.BigEndian.AppendUint32(b, uint32(r.Place))
 	}
-	return Sync{From: from, Sequence: m.Sequence, Echo: m.Echo, LagMilli: lag, View: m.View, Records: b}
+	return Sync{From: from, Sequence: m.Sequence, Echo: m.Echo, LagMilli: lag, Claims: m.Claims, View: m.View, Records: b}
 }
 
 // Unpack returns the message of a valid Sync.
 func (s Sync) Unpack() picker.Sync {
-	m := picker.Sync{Sequence: s.Sequence, Echo: s.Echo, Lag: time.Duration(s.LagMilli) * time.Millisecond, View: s.View}
+	m := picker.Sync{Sequence: s.Sequence, Echo: s.Echo, Lag: time.Duration(s.LagMilli) * time.Millisecond, Claims: s.Claims, View: s.View}
 	for b := s.Records; len(b) >= RecordSize; b = b[RecordSize:] {
 		m.Records = append(m.Records, picker.Record{
 			Hash:  binary.BigEndian.Uint64(b),
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -486,3 +486,42 @@
 		})
 	}
 }
+
+// TestNewOwnerClaimsNothingBeforeItHasWhatTheOldOneKnew is a flow that broke after a
+// partition: the old owner's records were still waiting for the budget when the new
+// owner claimed to know all exceptions.
+func TestNewOwnerClaimsNothingBeforeItHasWhatTheOldOneKnew(t *testing.T) {
+	is := is.New(t)
+	s := menus(5)
+	s.Targets[0].Fit = false
+	g := newGroup(1, s)
+	old := g.ids[0]
+	where := g.openAll(is, 400)
+	g.settle()
+	for i := 1; i < 3; i++ {
+		id := NewMemberID(memberName(i))
+		g.ids = append(g.ids, id)
+		g.pickers[id] = New(WithSeed(parser.Seed{K0: 1, K1: 2}))
+	}
+	for _, id := range g.ids {
+		g.view(id, members(3), s)
+	}
+	claimed := false
+	for range 40 { // the old owner sends two records at a time
+		g.now += second / 2
+		for _, from := range g.ids {
+			for _, to := range g.pickers[from].Members() {
+				limit := 100
+				if from == old {
+					limit = 2
+				}
+				m, _ := g.pickers[from].Sync(g.now, to, limit)
+				g.pickers[to].TakeSync(g.now, from, m)
+				claimed = claimed || (from != old && m.Claims && g.pickers[old].Unsynced() > 0)
+			}
+		}
+	}
+	is.True(g.pickers[old].Unsynced() > 0)
+	is.True(!claimed)
+	g.stay(is, where, g.ids...)
+}
--- a/picker/stream.go
+++ b/picker/stream.go
@@ -24,6 +24,9 @@
 	// among the flows that were opened at least Lag before the message was sent.
 	// It is negative when records had to wait.
 	Lag time.Duration
+	// Claims: the sender has itself what the others streamed to it since the last
+	// change of ownership, so that it knows all exceptions among the flows it owns.
+	Claims bool
 	// View is a digest of what the sender derives from: serving members, base sets.
 	View    uint64
 	Records []Record
@@ -48,8 +51,10 @@
 	sequence uint64
 	sent     []sentMessage
 	echo     uint64
-	// through: exceptions among flows opened until then are known, provided that
-	// the member derives from the same view.
+	// drained: all records of the member about flows opened until then are here.
+	drained time.Duration
+	// through: beyond that, the member knew all exceptions among its flows opened
+	// until then, provided that it derives from the same view.
 	through time.Duration
 	view    uint64
 }
@@ -114,7 +119,7 @@
 		if m.ID == self || s.peers[m.ID] != nil {
 			continue
 		}
-		p := &peer{queued: make(map[uint64]bool), through: -1}
+		p := &peer{queued: make(map[uint64]bool), drained: -1, through: -1}
 		s.peers[m.ID] = p
 		for hash, r := range s.records {
 			if r.streamed {
@@ -242,12 +247,14 @@
 	questionExpiry = 10 * time.Second
 )
 
-// lag returns how far behind the stream of this instance is, or a negative value
-// while it cannot tell.
+// claims tells whether this instance knows all exceptions among the flows it owns, as
+// far as its lag allows: it has what earlier owners streamed to it.
+func (p *Picker) claims(now time.Duration) bool {
+	return len(p.questions) < questionLimit && p.complete(now)
+}
+
+// lag returns how far behind the stream of this instance is.
 func (p *Picker) lag(now time.Duration) time.Duration {
-	if !p.settled(now) || len(p.questions) >= questionLimit {
-		return -1
-	}
 	lag := p.streams.lag(now)
 	for len(p.questions) > 0 {
 		q := p.questions[0]
@@ -312,7 +319,7 @@
 	}
 	s.age(now)
 	to0.sequence++
-	m := Sync{Sequence: to0.sequence, Echo: to0.echo, Lag: p.lag(now), View: p.view.digest}
+	m := Sync{Sequence: to0.sequence, Echo: to0.echo, Lag: p.lag(now), Claims: p.claims(now), View: p.view.digest}
 	n := to0.prefix(limit)
 	if n < len(to0.queue) {
 		m.Lag = -1
@@ -350,7 +357,10 @@
 	if m.Lag < 0 || !known {
 		return
 	}
-	s.through = at - m.Lag
+	s.drained = at - m.Lag
+	if m.Claims {
+		s.through = at - m.Lag
+	}
 }
 
 // prefix returns how many records the next message carries: all that were sent and
@@ -435,7 +445,7 @@
 		return false
 	}
 	for _, s := range p.streams.peers {
-		if s.through < p.changed {
+		if s.drained < p.changed {
 			return false
 		}
 	}
