measurer: flows that a partition kept from their target are counted as cut off

Cause: the bound of the partition is about flows whose target and whose instances are on one side. Change: a flow whose packet was kept from its target by the partition counts under ended-cut-off; an unknown flow is not derived to a target that is known as lost. Conclusion: the check is as narrow as its bound, and what it leaves out is reported.

--- a/measurer/sim.go
+++ b/measurer/sim.go
@@ -53,6 +53,7 @@
 	caller int32 // data centre whose side the caller is on
 	state  flowState
 	svc    uint8
+	cut    bool // a partition has kept a packet from its target
 	seq    uint32
 }
 
@@ -315,6 +316,7 @@
 		return
 	}
 	if !s.reach(one.dataCentre, t.dataCentre) {
+		s.flows[e.flow].cut = true
 		s.retry(e)
 		return
 	}
--- a/picker/ask.go
+++ b/picker/ask.go
@@ -90,7 +90,7 @@
 			e.flags |= flagDatagram
 		}
 	case e.kind == kindHint && e.has(flagPending) && p.derivedBy(owner, e.opened):
-		if index := c.fallback(in.hash); index >= 0 {
+		if index := c.fallback(in.hash); index >= 0 && !p.view.places[index].target.Dead {
 			p.counters.Resolved++
 			e.flags = e.flags&^flagPending | flagConfirmed
 			e.renewed = now
