measurer: only a flow kept from its own target counts as cut off

Cause: on reading the change again, a packet that an instance sent to a wrong target beyond the partition would have marked its flow as cut off, and so have hidden a break. Change: the mark is set only when the target out of reach is the flow's own.

--- a/measurer/sim.go
+++ b/measurer/sim.go
@@ -316,7 +316,9 @@
 		return
 	}
 	if !s.reach(one.dataCentre, t.dataCentre) {
-		s.flows[e.flow].cut = true
+		if f := &s.flows[e.flow]; f.target == int32(to) {
+			f.cut = true
+		}
 		s.retry(e)
 		return
 	}
