forwarder, requester, voter: drop what nothing reads

Cause: on reading the change again, a table of members by name, a header, a parameter and a field were left that nothing used any more. Change: they are gone. Conclusion: less to read.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -76,8 +76,7 @@
 
 // peerTable maps members to the UDP addresses of their peer doors.
 type peerTable struct {
-	byID   map[picker.MemberID]*net.UDPAddr
-	byName map[string]*net.UDPAddr
+	byID map[picker.MemberID]*net.UDPAddr
 }
 
 // Option sets a property of a new Forwarder.
@@ -231,13 +230,11 @@
 
 // SetView puts a new view of members and services into use.
 func (f *Forwarder) SetView(members []Member, serving bool, services []picker.Service) {
-	table := &peerTable{byID: make(map[picker.MemberID]*net.UDPAddr), byName: make(map[string]*net.UDPAddr)}
+	table := &peerTable{byID: make(map[picker.MemberID]*net.UDPAddr)}
 	var list []picker.Member
 	for _, m := range members {
 		if m.ID != f.self {
-			addr := net.UDPAddrFromAddrPort(m.Peer)
-			table.byID[m.ID] = addr
-			table.byName[m.Name] = addr
+			table.byID[m.ID] = net.UDPAddrFromAddrPort(m.Peer)
 		}
 		if m.ID == f.self {
 			m.Leaving = !serving
--- a/requester/dispatch.go
+++ b/requester/dispatch.go
@@ -92,7 +92,7 @@
 	setTimeout(out, c.deadline-t.door.now())
 	response, err := t.door.targets.RoundTrip(out, c.repeatable)
 	if err != nil {
-		s.finish(resultOf(r.Context(), err))
+		s.finish(resultOf(r.Context()))
 		if !wrote.Load() {
 			return nil, r.Context().Err() == nil, notReached(err)
 		}
@@ -111,7 +111,7 @@
 }
 
 // resultOf keeps a caller that went away from counting against the target.
-func resultOf(ctx context.Context, _ error) dispatcher.Result {
+func resultOf(ctx context.Context) dispatcher.Result {
 	if ctx.Err() != nil {
 		return dispatcher.ResultOK
 	}
--- a/requester/problem.go
+++ b/requester/problem.go
@@ -18,7 +18,6 @@
 	HeaderKey     = "Idempotency-Key"
 	headerHops    = "Almondpick-Hops"
 	headerRun     = "Almondpick-Run"
-	headerService = "Almondpick-Service"
 )
 
 // Outcome tells a caller what became of its request.
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -417,7 +417,6 @@
 func clean(h http.Header) {
 	h.Del(headerHops)
 	h.Del(headerRun)
-	h.Del(headerService)
 	h.Del(HeaderKey)
 }
 
--- a/voter/replicate.go
+++ b/voter/replicate.go
@@ -207,7 +207,6 @@
 	if at, ok := v.sentAt(m.Sent); ok {
 		p.heard = max(p.heard, at)
 	}
-	p.lastIndex = m.LastIndex
 	if m.Reject {
 		p.next = max(p.match+1, min(m.LastIndex+1, m.Index))
 		p.next = max(p.next, 1)
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -43,11 +43,10 @@
 
 // progress is what a leader knows of one other member.
 type progress struct {
-	match     uint64
-	next      uint64
-	heard     time.Duration // send time of the latest message it answered
-	snapshot  time.Duration // when a snapshot was last sent
-	lastIndex uint64
+	match    uint64
+	next     uint64
+	heard    time.Duration // send time of the latest message it answered
+	snapshot time.Duration // when a snapshot was last sent
 }
 
 // round remembers when a numbered round of messages was sent.
