--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -82,6 +82,20 @@
 	State       State          `json:"state"`
 	Incarnation uint64         `json:"incarnation"`
 	Sequence    uint64         `json:"sequence"`
+	// Identity names the target in packets that only it takes in; 0 for a target
+	// that takes in all packets sent to its endpoint.
+	Identity uint64 `json:"identity"`
+	// ColdFor is how much longer a cold target is slow; 0 where it did not say.
+	ColdFor time.Duration `json:"cold-for"`
+}
+
+// WithCold returns the announcement of a serving target that is slow for a while.
+func (a Announcement) WithCold(left time.Duration) Announcement {
+	if left > 0 && a.State == Serving {
+		a.State = Cold
+		a.ColdFor = left
+	}
+	return a
 }
 
 // FieldError reports a field of an announcement that is out of its range.
@@ -130,6 +144,8 @@
 	Load        float32
 	State       State
 	Home        string
+	Identity    uint64
+	ColdFor     time.Duration
 }
 
 // Target is what an instance believes of a target.
@@ -222,7 +238,12 @@
 	return nil
 }
 
+// older tells whether a says less than b does. A target that is named by an identity
+// does not come back from its end; what still arrives was sent before.
 func older(a, b Announcement) bool {
+	if b.State == Gone && b.Identity != 0 && a.Incarnation == b.Incarnation && a.State != Gone {
+		return true
+	}
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation < b.Incarnation
 	}
@@ -245,6 +266,7 @@
 	b, err := cbor.Marshal(body{
 		Endpoint: a.Endpoint.String(), Request: a.Request.String(), Job: a.Job, DataCentre: a.DataCentre,
 		Slots: a.Slots, Connections: a.Connections, Running: a.Running, Load: float32(a.Load), State: a.State, Home: r.self,
+		Identity: a.Identity, ColdFor: a.ColdFor,
 	})
 	if err != nil {
 		panic(err) // a struct of plain fields always encodes
@@ -272,7 +294,8 @@
 	a := Announcement{
 		Endpoint: endpoint, Request: request, Job: b.Job, DataCentre: b.DataCentre, Slots: b.Slots,
 		Connections: b.Connections, Running: b.Running, Load: float64(b.Load), State: b.State,
-		Incarnation: rec.Incarnation, Sequence: rec.Sequence,
+		Incarnation: rec.Incarnation, Sequence: rec.Sequence, Identity: b.Identity,
+		ColdFor: b.ColdFor,
 	}
 	old := r.targets[endpoint]
 	lost := rec.Rank != gossiper.RankOwn
@@ -293,14 +316,15 @@
 }
 
 // take makes a the present state of its endpoint. An endpoint that comes back
-// under another job gets no work until every instance can have heard of it.
+// under another job gets no work until every instance can have heard of it, unless
+// packets name the target that they are meant for.
 func (r *Registry) take(now time.Duration, a Announcement, home string, lost bool) {
 	old := r.targets[a.Endpoint]
 	t := &Target{Announcement: a, Home: home, Lost: lost, Since: now, Seen: now}
 	if old != nil {
 		t.Since = old.Since
 		t.Fence = old.Fence
-		if old.Job != a.Job {
+		if old.Job != a.Job && a.Identity == 0 {
 			t.Fence = now + Quarantine
 		}
 		if old.Job != a.Job || old.State != a.State || old.Lost != lost || old.Incarnation != a.Incarnation {
--- a/cmd/almondpick/main.go
+++ b/cmd/almondpick/main.go
@@ -14,6 +14,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&versionCommand{}, "")
 	subcommands.Register(&serveCommand{}, "instances")
+	subcommands.Register(&nodeCommand{}, "instances")
 	subcommands.Register(&keysCommand{}, "instances")
 	for _, c := range operatorCommands() {
 		subcommands.Register(c, "operating")
--- /dev/null
+++ b/configurer/node.go
@@ -0,0 +1,70 @@
+package configurer
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+)
+
+// Node holds the settings of an instance of a deployment that names its instances by
+// address, has no list of them, and steers flows by label. It opens only the doors
+// whose addresses are set.
+type Node struct {
+	Name             string // IP address, which peers and seeds go by
+	Label            string // name for people, in logs
+	DataCentre       string
+	PeerAddress      string // UDP and TCP
+	FlowAddress      string // "" without a flow door
+	ReadyAddress     string // HTTP, tells whether the flow door takes traffic
+	OperatorAddress  string // HTTP, configuration and announcements
+	MetricsAddress   string // HTTP
+	Seeds            []string
+	DataFolder       string
+	FirstStart       bool
+	AnnounceInterval time.Duration // of targets
+	LostInstances    int           // with a disk, that may be lost at a time
+	StopGrace        time.Duration // between the wish to stop and a kill
+}
+
+// Validate checks every setting and returns a *Faults with all that are wrong.
+func (n Node) Validate() error {
+	var f Faults
+	if !namePattern.MatchString(n.Name) {
+		f.add("name", n.Name, nameRule)
+	}
+	if !namePattern.MatchString(n.DataCentre) {
+		f.add("data-centre", n.DataCentre, nameRule)
+	}
+	optional := []struct{ setting, value string }{
+		{"flow-address", n.FlowAddress},
+		{"ready-address", n.ReadyAddress},
+		{"operator-address", n.OperatorAddress},
+		{"metrics-address", n.MetricsAddress},
+	}
+	for _, a := range optional {
+		if _, err := netip.ParseAddrPort(a.value); a.value != "" && err != nil {
+			f.add(a.setting, a.value, "IP:port, or nothing")
+		}
+	}
+	if _, err := netip.ParseAddrPort(n.PeerAddress); err != nil {
+		f.add("peer-address", n.PeerAddress, "IP:port")
+	}
+	for _, s := range n.Seeds {
+		if _, err := netip.ParseAddrPort(s); err != nil {
+			f.add("seeds", s, "IP:port")
+		}
+	}
+	if n.FirstStart && n.DataFolder != "" && len(n.Seeds) == 0 {
+		f.add("seeds", "none", "at least one address with -first-start")
+	}
+	if n.LostInstances < 0 || n.LostInstances > 3 {
+		f.add("lost-instances", strconv.Itoa(n.LostInstances), "0 to 3")
+	}
+	if n.AnnounceInterval <= 0 {
+		f.add("announce-interval", n.AnnounceInterval.String(), "more than 0s")
+	}
+	if n.StopGrace < time.Second {
+		f.add("stop-grace", n.StopGrace.String(), "1s or more")
+	}
+	return f.orNil()
+}
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -35,6 +35,17 @@
 	return err
 }
 
+// Withdraw takes in the word of a target that it has ended. One that is not known here
+// has nothing to be taken back. It returns a *ClosedError.
+func (c *Controller) Withdraw(ctx context.Context, identity uint64) error {
+	known := false
+	if !c.do(ctx, func() { known = c.registry.Leave(c.now(), identity, c.gossip) }) {
+		return &ClosedError{}
+	}
+	c.log.Info("target-left", "identity", identity, "known", known)
+	return nil
+}
+
 // World returns the present control state. It returns a *ClosedError.
 func (c *Controller) World(ctx context.Context) (World, error) {
 	var w World
@@ -141,6 +152,9 @@
 			return "", false
 		}
 	}
+	if c.set.Electorate > 0 {
+		return c.nearestStore()
+	}
 	for _, name := range c.machine.Config().Voters {
 		if m, ok := c.gossip.Member(name); ok && m.Alive() {
 			return m.RPC, true
@@ -175,7 +189,7 @@
 	}
 	if len(c.commands) > 0 && c.commands[0].Index <= after+1 {
 		for _, a := range c.commands {
-			if a.Index > after {
+			if a.Index > after && a.Command != (planner.Command{}) {
 				reply.Commands = append(reply.Commands, a)
 			}
 		}
--- a/controller/chores.go
+++ b/controller/chores.go
@@ -24,10 +24,16 @@
 // chores does what need not be done at every tick.
 func (c *Controller) chores(now time.Duration) {
 	c.endProbation(now)
+	c.reopen(now)
 	c.fetchNewer()
+	c.noteFences(now)
+	if c.set.Electorate > 0 {
+		c.noteConfirmed(now)
+		c.keepElectorate(now)
+		return
+	}
 	c.noteContact()
 	c.noteReady(now)
-	c.noteFences(now)
 	if c.voter != nil && c.voterErr == nil && c.voter.Lease(now) {
 		c.registerInstances(now)
 		c.reconcileVoters(now)
@@ -39,7 +45,7 @@
 // show whether the deployment already exists. Only where it does not is
 // FirstStart followed: a voter that lost its disk must not vote as its old self.
 func (c *Controller) endProbation(now time.Duration) {
-	if !c.fresh || now < probation {
+	if !c.fresh || (now < probation && c.set.Electorate == 0) {
 		return
 	}
 	c.fresh = false
@@ -69,7 +75,7 @@
 // learn of versions by gossip, so a change spreads from instance to instance and
 // no instance has to serve all others.
 func (c *Controller) fetchNewer() {
-	if c.fetching {
+	if c.fetching || c.inLog() {
 		return
 	}
 	best, ok := c.gossip.Newest()
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -35,6 +35,7 @@
 	Exchange(to string, m voter.Message)
 	Fetch(ctx context.Context, to string, after uint64) (*messenger.FetchReply, error)
 	Propose(ctx context.Context, to string, c planner.Command) (*planner.Answer, error)
+	Read(ctx context.Context, to string) (*messenger.ReadReply, error)
 }
 
 // Settings say who the instance is and where it starts from.
@@ -47,6 +48,12 @@
 	BaseLag    time.Duration // before the base set follows the fit targets
 	Heartbeat  time.Duration
 	Election   time.Duration
+	// Electorate is how many voters the leader keeps up among the instances that have
+	// a disk. With 0 the voters are those that the configuration names, and instances
+	// are registered in it.
+	Electorate int
+	// Labels says that flows are steered by label, which needs no base sets.
+	Labels bool
 }
 
 // Times of the control goroutine.
@@ -57,7 +64,8 @@
 	readyAnyway   = 3 * time.Second
 	fetchTimeout  = 2 * time.Second
 	callTimeout   = 5 * time.Second
-	compactAfter  = 256 // entries
+	compactAfter  = 256     // entries
+	compactBytes  = 1 << 20 // of the log
 	keptCommands  = 256
 	queuedCalls   = 4096
 	firstIdentity = "first"
@@ -92,8 +100,13 @@
 	journal  *journaler.Journal
 	voter    *voter.Voter
 	voterErr error
-	fresh    bool // the data folder was empty
+	fresh    bool          // the data folder was empty
+	reopenAt time.Duration // when a data folder that failed is tried again
 	waiters  map[uint64]waiter
+	reads    map[uint64]chan messenger.ReadReply // by the voter's number
+	applied  []appliedWaiter
+	leader   voter.ID // that was last logged
+	reading  bool     // a read that confirms the configuration is under way
 	commands []messenger.Applied
 	fetching bool
 	ready    bool
@@ -149,6 +162,7 @@
 		registry:  announcer.NewRegistry(set.Self.Name),
 		machine:   planner.NewMachine(),
 		waiters:   make(map[uint64]waiter),
+		reads:     make(map[uint64]chan messenger.ReadReply),
 		fitSince:  make(map[string]fitState),
 		calls:     make(chan func(), queuedCalls),
 		done:      make(chan struct{}),
@@ -248,7 +262,7 @@
 	now := c.now()
 	c.send(c.gossip.Tick(now))
 	c.learnTargets(now)
-	c.registry.Tick(now, c.aliveInstance, c.gossip)
+	c.registry.Tick(now, c.homeReachable(), c.gossip)
 	if c.voter != nil && c.voterErr == nil {
 		c.voter.Tick(now)
 	}
@@ -298,6 +312,7 @@
 	return c.post(func() {
 		c.send(c.gossip.Handle(c.now(), from, m))
 		c.learnTargets(c.now())
+		c.fetchNewer()
 	}), nil
 }
 
--- a/controller/log.go
+++ b/controller/log.go
@@ -69,11 +69,10 @@
 		return
 	}
 	if err := c.save(out); err != nil {
-		c.voterErr = err
-		c.log.Error("voter-stopped", "error", err)
-		c.failWaiters()
+		c.stopVoter(err)
 		return
 	}
+	c.noteLeader()
 	for _, m := range out.Messages {
 		if to, ok := c.addressOf(m.To); ok {
 			c.transport.Exchange(to, m)
@@ -82,6 +81,7 @@
 	for _, e := range out.Committed {
 		c.apply(e)
 	}
+	c.answerReads(out.Reads)
 	c.compact()
 	if c.voter.Role() != voter.Leader {
 		c.failWaiters()
@@ -144,12 +144,15 @@
 	}
 	before := c.machine.Config().Version
 	answer := c.machine.Apply(index, cmd)
+	if cmd.Replace != nil {
+		c.dropReplaced()
+	}
 	c.commands = append(c.commands, messenger.Applied{Index: index, Command: cmd})
 	if len(c.commands) > 2*keptCommands {
 		c.commands = slices.Clone(c.commands[len(c.commands)-keptCommands:])
 	}
 	if v := c.machine.Config().Version; v != before {
-		c.log.Info("configuration-in-force", "version", v)
+		c.log.Info("configuration-in-force", "version", v, "ruleset", rulesetVersion(c.machine.Config()))
 	}
 	return answer
 }
@@ -159,13 +162,20 @@
 		w.answer <- planner.Answer{Refusal: &planner.Refusal{Code: planner.CodeUnknown}}
 		delete(c.waiters, index)
 	}
+	for id, answer := range c.reads {
+		close(answer)
+		delete(c.reads, id)
+	}
 }
 
 // compact replaces the log by a snapshot once it has grown.
 func (c *Controller) compact() {
 	index := c.machine.Index()
 	first := c.voter.FirstIndex()
-	if index < first+compactAfter {
+	if index < first || index > c.voter.Commit() {
+		return
+	}
+	if index < first+compactAfter && c.journal.Size() < compactBytes {
 		return
 	}
 	data, err := c.machine.Snapshot()
@@ -176,8 +186,7 @@
 	term, membership := c.voter.SnapshotMembership(index)
 	s := voter.Snapshot{Index: index, Term: term, Membership: membership, Data: data}
 	if err := c.journal.Compact(s, c.voter.HardState(), c.voter.EntriesAfter(index)); err != nil {
-		c.voterErr = err
-		c.log.Error("voter-stopped", "error", err)
+		c.stopVoter(err)
 		return
 	}
 	c.voter.Compacted(s)
--- /dev/null
+++ b/controller/read.go
@@ -0,0 +1,215 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"almondpick/messenger"
+	"almondpick/planner"
+	"almondpick/voter"
+)
+
+// appliedWaiter waits until the log has been applied up to index.
+type appliedWaiter struct {
+	index uint64
+	done  chan struct{}
+}
+
+// UnconfirmedError is returned by reads that no majority has confirmed: what this
+// instance holds may not be the newest.
+type UnconfirmedError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *UnconfirmedError) Error() string {
+	return "the newest configuration is not known: " + e.Reason
+}
+
+// Rules returns the ruleset that was in force at some time after the call began, nil
+// before the first. It returns an *UnconfirmedError where that cannot be made sure,
+// or a *ClosedError.
+func (c *Controller) Rules(ctx context.Context) (*planner.Ruleset, error) {
+	at, err := c.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	done := make(chan struct{})
+	var rules *planner.Ruleset
+	ok := c.do(ctx, func() { c.whenApplied(at.Index, done) })
+	if !ok {
+		return nil, &ClosedError{}
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return nil, &UnconfirmedError{Reason: "the log is behind"}
+	}
+	if !c.do(ctx, func() { rules = c.machine.Config().Rules }) {
+		return nil, &ClosedError{}
+	}
+	return rules, nil
+}
+
+// Read returns a position of the log that holds everything that was committed before
+// the call began, and the version of the configuration there. The leader confirms it
+// with a majority, in a round that begins after the call. It returns an
+// *UnconfirmedError or a *ClosedError.
+func (c *Controller) Read(ctx context.Context) (*messenger.ReadReply, error) {
+	answer := make(chan messenger.ReadReply, 1)
+	var leader, reason string
+	if !c.do(ctx, func() { leader, reason = c.beginRead(answer) }) {
+		return nil, &ClosedError{}
+	}
+	if reason != "" {
+		return nil, &UnconfirmedError{Reason: reason}
+	}
+	if leader != "" {
+		reply, err := c.transport.Read(ctx, leader)
+		if err != nil {
+			return nil, &UnconfirmedError{Reason: err.Error()}
+		}
+		return reply, nil
+	}
+	select {
+	case reply, ok := <-answer:
+		if !ok {
+			return nil, &UnconfirmedError{Reason: "the leader lost its office"}
+		}
+		return &reply, nil
+	case <-ctx.Done():
+		return nil, &UnconfirmedError{Reason: "no majority answered in time"}
+	}
+}
+
+// beginRead starts a read at the leader. It returns the address of the leader where
+// that is another instance, or the reason why there is none.
+func (c *Controller) beginRead(answer chan messenger.ReadReply) (leader, reason string) {
+	if c.voter != nil && c.voterErr == nil && c.voter.Role() == voter.Leader {
+		id, err := c.voter.Read(c.now())
+		if err != nil {
+			return "", err.Error()
+		}
+		c.reads[id] = answer
+		return "", ""
+	}
+	if to, ok := c.leaderAddress(); ok {
+		return to, ""
+	}
+	return "", "no leader is known"
+}
+
+// answerReads answers the reads that a majority has confirmed.
+func (c *Controller) answerReads(done []voter.ReadDone) {
+	for _, r := range done {
+		if answer, ok := c.reads[r.ID]; ok {
+			answer <- messenger.ReadReply{Index: r.Index, Version: c.machine.Config().Version}
+			delete(c.reads, r.ID)
+		}
+	}
+	kept := c.applied[:0]
+	for _, w := range c.applied {
+		if c.machine.Index() >= w.index {
+			close(w.done)
+			continue
+		}
+		kept = append(kept, w)
+	}
+	c.applied = kept
+}
+
+// whenApplied closes done once the log has been applied up to index.
+func (c *Controller) whenApplied(index uint64, done chan struct{}) {
+	if c.machine.Index() >= index {
+		close(done)
+		return
+	}
+	const most = 1024 // reads that wait; more are left to run into their timeout
+	if len(c.applied) < most {
+		c.applied = append(c.applied, appliedWaiter{index: index, done: done})
+	}
+}
+
+// Replace has a ruleset put into force. When it returns nil the ruleset is durable at
+// a majority and in force unless another one has a higher version. It returns a
+// *planner.Refusal, which says whether the outcome is known, or a *ClosedError.
+func (c *Controller) Replace(ctx context.Context, r planner.Ruleset) error {
+	if err := r.Validate(); err != nil {
+		return err
+	}
+	a, err := c.Submit(ctx, planner.Command{Replace: &r})
+	if err != nil {
+		return err
+	}
+	if a.Refusal != nil {
+		return a.Refusal
+	}
+	return nil
+}
+
+// noteConfirmed makes the instance ready: when it holds what a majority confirmed
+// after its start, and the targets that others know; or, when that does not come
+// about, with what anyone in reach has.
+func (c *Controller) noteConfirmed(now time.Duration) {
+	c.noteCut()
+	if c.ready && c.confirm {
+		return
+	}
+	holds := c.machine.Config().Rules != nil && c.machine.Config().Version >= c.highestVersion()
+	if c.confirm && holds && (c.gossip.Synced() || now >= readyAnyway) {
+		c.becomeReady()
+		return
+	}
+	if !c.ready && holds && now >= readyAnyway {
+		c.becomeReady()
+	}
+	c.confirmVersion()
+}
+
+func (c *Controller) becomeReady() {
+	if c.ready {
+		return
+	}
+	c.ready = true
+	c.log.Info("ready", "version", c.machine.Config().Version, "ruleset", rulesetVersion(c.machine.Config()),
+		"confirmed", c.confirm, "synced", c.gossip.Synced())
+}
+
+// confirmVersion asks the leader how far the log is, and notes when this instance
+// holds as much.
+func (c *Controller) confirmVersion() {
+	if c.reading || c.confirm {
+		return
+	}
+	c.reading = true
+	c.closed.Add(1)
+	go func() {
+		defer c.closed.Done()
+		ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
+		defer cancel()
+		at, err := c.Read(ctx)
+		c.do(c.ctx, func() {
+			c.reading = false
+			if err != nil {
+				c.log.Debug("confirmation-failed", "error", err)
+				return
+			}
+			c.confirm = c.machine.Config().Version >= at.Version
+		})
+	}()
+}
+
+func rulesetVersion(cfg planner.Config) uint64 {
+	if cfg.Rules == nil {
+		return 0
+	}
+	return cfg.Rules.Version
+}
+
+// dropReplaced forgets the rulesets that a newer one follows, so that an instance that
+// catches up gets the newest only.
+func (c *Controller) dropReplaced() {
+	for i := range c.commands {
+		c.commands[i].Command.Replace = nil
+	}
+}
--- /dev/null
+++ b/diverter/diverter.go
@@ -0,0 +1,228 @@
+// Package diverter is the flow door of a fabric whose ends return a label: it reads
+// packets from a UDP socket, asks the steerer, and sends them on or refuses them.
+package diverter
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"almondpick/steerer"
+)
+
+// Clock gives the time.
+type Clock interface {
+	Now() time.Time
+}
+
+// Codec reads and writes the packets of the fabric.
+type Codec interface {
+	// Read decodes a packet from a caller. The error is a typed one.
+	Read(b []byte) (steerer.Packet, error)
+	// Address writes, into the Headroom bytes before the packet that begins at
+	// b[Headroom], what makes identity the only target that takes the packet in.
+	Address(b []byte, identity uint64)
+	// Headroom is the size of what Address writes, in bytes.
+	Headroom() int
+	// Label writes the label into an opening packet.
+	Label(b []byte, l steerer.Label)
+	// Refuse appends the packet that tells the caller that the flow is refused.
+	Refuse(b []byte, p steerer.Packet) []byte
+	// CallerAddress returns where packets for a caller are sent.
+	CallerAddress(p steerer.Packet) netip.AddrPort
+}
+
+// Observer counts and times what the door does.
+type Observer interface {
+	Decided(r steerer.Verdict)
+}
+
+// Sizes and times of the door.
+const (
+	packetSize    = 2048    // bytes
+	receiveBuffer = 4 << 20 // bytes
+)
+
+// Counters of the door.
+type Counters struct {
+	Received, Forwarded, Refused, Dropped, Malformed, SendFailed atomic.Uint64
+}
+
+// Diverter is a running door.
+type Diverter struct {
+	conn     *net.UDPConn
+	codec    Codec
+	clock    Clock
+	start    time.Time
+	log      *slog.Logger
+	observer Observer
+	counters Counters
+	loops    sync.WaitGroup
+
+	mu      sync.Mutex
+	steerer *steerer.Steerer
+	version uint64
+}
+
+// Option sets a property of a Diverter.
+type Option func(*Diverter)
+
+// WithLogger sets where decisions are logged.
+func WithLogger(l *slog.Logger) Option {
+	return func(d *Diverter) { d.log = l }
+}
+
+// WithObserver sets who is told of every decision.
+func WithObserver(o Observer) Option {
+	return func(d *Diverter) { d.observer = o }
+}
+
+// WithSteerer sets who decides.
+func WithSteerer(s *steerer.Steerer) Option {
+	return func(d *Diverter) { d.steerer = s }
+}
+
+type noObserver struct{}
+
+func (noObserver) Decided(steerer.Verdict) {}
+
+// Listen opens the door at an address and starts its loop. Times of verdicts are
+// counted from start.
+func Listen(at netip.AddrPort, codec Codec, clock Clock, start time.Time, opts ...Option) (*Diverter, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, eris.Wrap(err, "open flow door")
+	}
+	d := &Diverter{
+		conn: conn, codec: codec, clock: clock, start: start,
+		log: slog.New(slog.DiscardHandler), observer: noObserver{},
+	}
+	for _, o := range opts {
+		o(d)
+	}
+	if d.steerer == nil {
+		d.steerer = steerer.New()
+	}
+	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
+		d.log.Warn("receive-buffer-unchanged", "error", err)
+	}
+	d.loops.Add(1)
+	go d.run()
+	return d, nil
+}
+
+// SetView puts a new picture of configuration and targets into use.
+func (d *Diverter) SetView(v *steerer.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.steerer.SetView(v)
+	d.version = v.Version
+}
+
+// Counters returns the counters of the door.
+func (d *Diverter) Counters() *Counters {
+	return &d.counters
+}
+
+// Addr returns the address of the door.
+func (d *Diverter) Addr() net.Addr {
+	return d.conn.LocalAddr()
+}
+
+// Close ends the loop and waits for it.
+func (d *Diverter) Close() error {
+	err := d.conn.Close()
+	d.loops.Wait()
+	return err
+}
+
+func (d *Diverter) run() {
+	defer d.loops.Done()
+	room := d.codec.Headroom()
+	buffer := make([]byte, room+packetSize)
+	refusal := make([]byte, 0, packetSize)
+	for {
+		n, _, err := d.conn.ReadFromUDPAddrPort(buffer[room:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Such as an ICMP error that an earlier datagram brought.
+			d.log.Debug("flow-read-failed", "error", err)
+			continue
+		}
+		d.counters.Received.Add(1)
+		refusal = d.packet(buffer[:room+n], refusal[:0])
+	}
+}
+
+// packet handles the packet that begins after the headroom of b. refusal is a buffer
+// for an answer, which it returns.
+func (d *Diverter) packet(b, refusal []byte) []byte {
+	room := d.codec.Headroom()
+	p, err := d.codec.Read(b[room:])
+	if err != nil {
+		d.counters.Malformed.Add(1)
+		d.log.Debug("packet-malformed", "error", err)
+		return refusal
+	}
+	now := d.clock.Now().Sub(d.start)
+	d.mu.Lock()
+	v := d.steerer.Packet(now, p)
+	version := d.version
+	d.mu.Unlock()
+	d.observer.Decided(v)
+	switch v.Action {
+	case steerer.Forward:
+		if p.Flags&steerer.Opening != 0 {
+			d.codec.Label(b[room:], v.Target.Label())
+		}
+		d.codec.Address(b, v.Target.Identity)
+		d.send(b, v.Target.Endpoint)
+		d.counters.Forwarded.Add(1)
+	case steerer.Reset:
+		refusal = d.codec.Refuse(refusal, p)
+		d.send(refusal, d.codec.CallerAddress(p))
+		d.counters.Refused.Add(1)
+	default:
+		d.counters.Dropped.Add(1)
+	}
+	if v.Reason != steerer.ByLabel {
+		d.report(now, p, v, version)
+	}
+	return refusal
+}
+
+func (d *Diverter) send(b []byte, to netip.AddrPort) {
+	if _, err := d.conn.WriteToUDPAddrPort(b, to); err != nil {
+		d.counters.SendFailed.Add(1)
+		d.log.Warn("flow-send-failed", "to", to, "error", err)
+	}
+}
+
+// report logs one decision about a flow; packets that follow a label are counted
+// only.
+func (d *Diverter) report(now time.Duration, p steerer.Packet, v steerer.Verdict, version uint64) {
+	if !d.log.Enabled(context.Background(), slog.LevelInfo) {
+		return
+	}
+	attrs := make([]slog.Attr, 0, 10)
+	attrs = append(attrs,
+		slog.Any("caller", p.Flow.Caller), slog.Any("service", p.Flow.Service), slog.Uint64("version", version),
+		slog.String("action", v.Action.String()), slog.String("reason", string(v.Reason)), slog.Uint64("copy", uint64(p.Copy)))
+	if v.Target != nil {
+		attrs = append(attrs, slog.Any("target", v.Target.Endpoint),
+			slog.Uint64("identity", v.Target.Identity), slog.Duration("target-age", now-v.Target.Seen))
+	}
+	if v.Reason == steerer.UnknownLabel {
+		attrs = append(attrs, slog.Uint64("label", uint64(p.Label)))
+	}
+	d.log.LogAttrs(context.Background(), slog.LevelInfo, "flow", attrs...)
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -84,6 +84,7 @@
 	nextSync    time.Duration
 	probeNumber uint64
 	revision    uint64
+	synced      bool
 	news        []Record
 	out         []Envelope
 }
@@ -136,6 +137,12 @@
 	return g.revision
 }
 
+// Synced tells whether this instance has held the same records as another one at
+// some time since it started.
+func (g *Gossiper) Synced() bool {
+	return g.synced
+}
+
 // Self returns the record body that this instance spreads of itself.
 func (g *Gossiper) Self() Instance {
 	return g.self
@@ -348,6 +355,9 @@
 // compare asks for the records that differ when the sender's digest is another
 // one while no rumours are under way that would explain it.
 func (g *Gossiper) compare(now time.Duration, from string, m Message) {
+	if m.Digest == g.store.digest {
+		g.synced = true
+	}
 	if m.Digest == g.store.digest || m.Kind == KindBuckets || now < g.nextSync {
 		return
 	}
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -27,6 +27,13 @@
 	Index    uint64    `cbor:"index"`
 }
 
+// ReadReply is a position of the log that a majority has confirmed, and the version of
+// the configuration there.
+type ReadReply struct {
+	Index   uint64 `cbor:"index"`
+	Version uint64 `cbor:"version"`
+}
+
 // VoterBatch carries messages between voters.
 type VoterBatch struct {
 	Messages []voter.Message `cbor:"messages"`
--- a/messenger/seal.go
+++ b/messenger/seal.go
@@ -26,9 +26,12 @@
 	// a version that Geneve does not have.
 	datagramMark = 0xa0
 	sealSize     = 16 // bytes of HMAC-SHA-256 at the end
-	groupKeySize = 32 // bytes
 )
 
+// GroupKeySize is the size of a group key, in bytes. A key of zeros leaves datagrams
+// checked for damage but not protected.
+const GroupKeySize = 32
+
 // Keys are what the group key gives: every purpose has a key of its own.
 type Keys struct {
 	seal  []byte
@@ -58,7 +61,7 @@
 
 // NewKeys derives the keys of a group. It returns a *KeyError.
 func NewKeys(group []byte) (Keys, error) {
-	if len(group) != groupKeySize {
+	if len(group) != GroupKeySize {
 		return Keys{}, &KeyError{Size: len(group)}
 	}
 	return Keys{
--- a/messenger/service.go
+++ b/messenger/service.go
@@ -20,6 +20,7 @@
 	Fetch(ctx context.Context, r *FetchRequest) (*FetchReply, error)
 	Propose(ctx context.Context, c *planner.Command) (*planner.Answer, error)
 	TakeTickets(ctx context.Context, h *TicketHandover) (*Empty, error)
+	Read(ctx context.Context, r *Empty) (*ReadReply, error)
 }
 
 // OperatorServer answers operators.
@@ -62,6 +63,7 @@
 			unary(PeerService, "Fetch", PeerServer.Fetch),
 			unary(PeerService, "Propose", PeerServer.Propose),
 			unary(PeerService, "TakeTickets", PeerServer.TakeTickets),
+			unary(PeerService, "Read", PeerServer.Read),
 		},
 	}, s)
 }
@@ -118,6 +120,11 @@
 	return invoke[TicketHandover, Empty](ctx, c.Conn, PeerService, "TakeTickets", h)
 }
 
+// Read asks how far the log is.
+func (c PeerClient) Read(ctx context.Context) (*ReadReply, error) {
+	return invoke[Empty, ReadReply](ctx, c.Conn, PeerService, "Read", &Empty{})
+}
+
 // OperatorClient calls an instance on behalf of an operator.
 type OperatorClient struct {
 	Conn grpc.ClientConnInterface
--- a/planner/config.go
+++ b/planner/config.go
@@ -36,6 +36,8 @@
 	Voters    []string              `cbor:"voters" json:"voters"` // instances that should vote
 	Withdrawn map[string]Withdrawal `cbor:"withdrawn" json:"withdrawn"`
 	Bases     map[string]Base       `cbor:"bases" json:"bases"`
+	// Rules is the ruleset with the highest version of its own, nil before the first.
+	Rules *Ruleset `cbor:"rules" json:"-"`
 }
 
 // WithService returns the configuration with s added or replaced. Addresses that
--- a/planner/machine.go
+++ b/planner/machine.go
@@ -20,6 +20,7 @@
 	Confirm  *ConfirmPlan `cbor:"confirm,omitempty"`
 	Register *Register    `cbor:"register,omitempty"`
 	SetBase  *SetBase     `cbor:"set-base,omitempty"`
+	Replace  *Ruleset     `cbor:"replace,omitempty"`
 }
 
 // StateIntent asks for a plan.
@@ -52,7 +53,7 @@
 // Validate returns a *Refusal when not exactly one field is set.
 func (c Command) Validate() error {
 	n := 0
-	for _, set := range []bool{c.State != nil, c.Confirm != nil, c.Register != nil, c.SetBase != nil} {
+	for _, set := range []bool{c.State != nil, c.Confirm != nil, c.Register != nil, c.SetBase != nil, c.Replace != nil} {
 		if set {
 			n++
 		}
@@ -60,6 +61,9 @@
 	if n != 1 {
 		return badField("command", strconv.Itoa(n)+" fields", "exactly one field")
 	}
+	if c.Replace != nil {
+		return c.Replace.Validate()
+	}
 	return nil
 }
 
@@ -139,6 +143,8 @@
 		m.register(*c.Register)
 	case c.SetBase != nil:
 		m.setBase(*c.SetBase)
+	case c.Replace != nil:
+		m.replace(*c.Replace)
 	}
 	return Answer{}
 }
--- /dev/null
+++ b/server/node.go
@@ -0,0 +1,263 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+
+	"almondpick/configurer"
+	"almondpick/controller"
+	"almondpick/diverter"
+	"almondpick/gossiper"
+	"almondpick/messenger"
+	"almondpick/meter"
+	"almondpick/steerer"
+)
+
+// Times of an instance that steers by label.
+const (
+	nodeHeartbeat   = 200 * time.Millisecond
+	nodeElection    = 800 * time.Millisecond
+	headerTimeout   = 2 * time.Second
+	stopReserve     = time.Second // before the kill that follows a wish to stop
+	rotationLag     = 2500 * time.Millisecond
+	datagramSize    = 64 << 10 // bytes
+	peerSocketBytes = 1 << 20
+)
+
+// API makes the handler of the operator door over the control state.
+type API func(c *controller.Controller) http.Handler
+
+// Ready makes the handler of readiness probes.
+type Ready func(ready func() bool) http.Handler
+
+// Node is a running instance that steers flows by label and opens only the doors that
+// its settings name.
+type Node struct {
+	set       configurer.Node
+	clock     Clock
+	start     time.Time
+	log       *slog.Logger
+	transport *transport
+	control   control
+	flow      *diverter.Diverter
+	meter     *meter.Meter
+	peer      *net.UDPConn
+	grpc      *grpc.Server
+	web       []*http.Server
+	serving   sync.WaitGroup
+	world     atomic.Pointer[controller.World]
+	stopping  atomic.Bool
+}
+
+// StartNode starts an instance. The settings must have passed Validate. The error is
+// that of the first part that could not start.
+func StartNode(set configurer.Node, clock Clock, log *slog.Logger, codec diverter.Codec, api API, ready Ready) (*Node, error) {
+	n := &Node{set: set, clock: clock, start: clock.Now(), log: log, meter: meter.New(), transport: newTransport(nil, log)}
+	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
+	if err != nil {
+		return nil, err
+	}
+	if err := n.open(codec, keys, api, ready); err != nil {
+		return nil, errors.Join(err, n.Close())
+	}
+	log.Info("started", "instance", set.Name, "label", set.Label, "data-centre", set.DataCentre, "peer", set.PeerAddress,
+		"flow", set.FlowAddress, "operator", set.OperatorAddress, "data-folder", set.DataFolder,
+		"first-start", set.FirstStart, "seeds", set.Seeds)
+	return n, nil
+}
+
+func (n *Node) open(codec diverter.Codec, keys messenger.Keys, api API, ready Ready) error {
+	at := netip.MustParseAddrPort(n.set.PeerAddress)
+	var err error
+	if n.peer, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at)); err != nil {
+		return eris.Wrap(err, "open peer door")
+	}
+	n.transport.setSender(&datagramSender{conn: n.peer, log: n.log})
+	if n.set.FlowAddress != "" {
+		observer := n.meter.Steering()
+		n.flow, err = diverter.Listen(netip.MustParseAddrPort(n.set.FlowAddress), codec, n.clock, n.start,
+			diverter.WithLogger(n.log), diverter.WithObserver(observer),
+			diverter.WithSteerer(steerer.New(steerer.WithEnded(observer.Ended))))
+		if err != nil {
+			return err
+		}
+	}
+	n.control, err = controller.New(n.controlSettings(), n.clock, n.transport, keys,
+		controller.WithLogger(n.log), controller.WithWorlds(n.setWorld))
+	if err != nil {
+		return err
+	}
+	n.serving.Add(1)
+	go n.readPeer(keys)
+	return n.serve(api, ready)
+}
+
+func (n *Node) controlSettings() controller.Settings {
+	s := controller.Settings{
+		Self: gossiper.Instance{
+			Name: n.set.Name, DataCentre: n.set.DataCentre, Peer: n.set.PeerAddress, RPC: n.set.PeerAddress,
+			Operator: n.set.OperatorAddress, Process: uint64(n.start.UnixMilli()),
+		},
+		Seeds:      n.set.Seeds,
+		DataFolder: n.set.DataFolder,
+		FirstStart: n.set.FirstStart,
+		Heartbeat:  nodeHeartbeat,
+		Election:   nodeElection,
+		Electorate: 2*n.set.LostInstances + 1,
+		Labels:     true,
+	}
+	for _, seed := range n.set.Seeds {
+		s.Voters = append(s.Voters, netip.MustParseAddrPort(seed).Addr().String())
+	}
+	return s
+}
+
+// serve starts the peer door's TCP side and the HTTP doors.
+func (n *Node) serve(api API, ready Ready) error {
+	l, err := net.Listen("tcp4", n.set.PeerAddress)
+	if err != nil {
+		return eris.Wrap(err, "open peer door")
+	}
+	n.grpc = grpc.NewServer()
+	messenger.RegisterPeer(n.grpc, &peerService{control: n.control})
+	n.run(func() error { return n.grpc.Serve(l) })
+	doors := []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.set.OperatorAddress, api(n.control)},
+		{n.set.ReadyAddress, ready(n.Ready)},
+		{n.set.MetricsAddress, promhttp.HandlerFor(n.meter.Gatherer(), promhttp.HandlerOpts{})},
+	}
+	for _, d := range doors {
+		if d.address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp4", d.address)
+		if err != nil {
+			return eris.Wrap(err, "open door")
+		}
+		s := &http.Server{Handler: d.handler, ReadHeaderTimeout: headerTimeout}
+		n.web = append(n.web, s)
+		n.run(func() error { return s.Serve(l) })
+	}
+	return nil
+}
+
+func (n *Node) run(serve func() error) {
+	n.serving.Add(1)
+	go func() {
+		defer n.serving.Done()
+		err := serve()
+		if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
+			n.log.Error("door-failed", "error", err)
+		}
+	}()
+}
+
+// readPeer takes in gossip.
+func (n *Node) readPeer(keys messenger.Keys) {
+	defer n.serving.Done()
+	b := make([]byte, datagramSize)
+	for {
+		size, from, err := n.peer.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			n.log.Debug("peer-read-failed", "error", err)
+			continue
+		}
+		kind, body, err := keys.Open(b[:size])
+		if err != nil || kind != messenger.DatagramGossip {
+			n.log.Debug("datagram-refused", "from", from, "error", err)
+			continue
+		}
+		if taken, err := n.control.Gossip(from.String(), body); err != nil || !taken {
+			n.log.Warn("gossip-dropped", "from", from, "error", err)
+		}
+	}
+}
+
+// datagramSender sends gossip.
+type datagramSender struct {
+	conn *net.UDPConn
+	log  *slog.Logger
+}
+
+// Datagram implements sender.
+func (s *datagramSender) Datagram(to string, b []byte) {
+	at, err := netip.ParseAddrPort(to)
+	if err == nil {
+		_, err = s.conn.WriteToUDPAddrPort(b, at)
+	}
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		s.log.Debug("gossip-not-sent", "to", to, "error", err)
+	}
+}
+
+// setWorld puts a new state of control into use at the flow door.
+func (n *Node) setWorld(w controller.World) {
+	n.world.Store(&w)
+	if n.flow != nil {
+		n.flow.SetView(labelView(w))
+	}
+}
+
+// Ready tells whether the instance takes traffic.
+func (n *Node) Ready() bool {
+	w := n.world.Load()
+	return w != nil && w.Ready && !n.stopping.Load()
+}
+
+// Stop stops the instance as planned: it is out of the fabric's rotation before it
+// closes, and forwards until then. ctx cuts the stop short.
+func (n *Node) Stop(ctx context.Context) error {
+	n.log.Info("stopping", "instance", n.set.Name)
+	n.stopping.Store(true)
+	if n.flow != nil {
+		wait, stop := n.clock.Ticker(min(rotationLag, n.set.StopGrace-stopReserve))
+		select {
+		case <-wait:
+		case <-ctx.Done():
+		}
+		stop()
+	}
+	err := n.Close()
+	n.log.Info("stopped", "instance", n.set.Name)
+	return err
+}
+
+// Close stops the instance at once.
+func (n *Node) Close() error {
+	var errs []error
+	for _, s := range n.web {
+		errs = append(errs, s.Close())
+	}
+	if n.grpc != nil {
+		n.grpc.Stop()
+	}
+	if n.control != nil {
+		errs = append(errs, n.control.Close())
+	}
+	if n.flow != nil {
+		errs = append(errs, n.flow.Close())
+	}
+	if n.peer != nil {
+		errs = append(errs, n.peer.Close())
+	}
+	errs = append(errs, n.transport.Close())
+	n.serving.Wait()
+	return errors.Join(errs...)
+}
--- a/server/peer.go
+++ b/server/peer.go
@@ -49,8 +49,16 @@
 	return &a, err
 }
 
+// Read tells another instance how far the log is.
+func (p *peerService) Read(ctx context.Context, _ *messenger.Empty) (*messenger.ReadReply, error) {
+	return p.control.Read(ctx)
+}
+
 // TakeTickets takes over a part of a ticket table.
 func (p *peerService) TakeTickets(_ context.Context, h *messenger.TicketHandover) (*messenger.Empty, error) {
+	if p.door == nil {
+		return nil, status.Error(codes.Unimplemented, "no request door")
+	}
 	p.door.TakeTables(h)
 	return &messenger.Empty{}, nil
 }
--- a/server/transport.go
+++ b/server/transport.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"almondpick/messenger"
 	"almondpick/planner"
@@ -138,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, exchangeTimeout)
 	defer cancel()
 	_, err = client.Exchange(ctx, batch)
-	return err
+	return t.judge(to, err)
 }
 
 // Fetch implements controller.Transport.
@@ -147,7 +149,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.Fetch(ctx, &messenger.FetchRequest{After: after})
+	reply, err := client.Fetch(ctx, &messenger.FetchRequest{After: after})
+	return reply, t.judge(to, err)
 }
 
 // Propose implements controller.Transport.
@@ -156,7 +159,36 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.Propose(ctx, &c)
+	a, err := client.Propose(ctx, &c)
+	return a, t.judge(to, err)
+}
+
+// judge gives up a connection on which a call ran into its timeout. The connection
+// may have gone silent, which nothing else shows for a long time; the next call opens
+// a new one.
+func (t *transport) judge(to string, err error) error {
+	if status.Code(err) != codes.DeadlineExceeded {
+		return err
+	}
+	t.mu.Lock()
+	conn := t.conns[to]
+	delete(t.conns, to)
+	t.mu.Unlock()
+	if conn == nil {
+		return err
+	}
+	t.log.Warn("connection-given-up", "to", to, "error", err)
+	return errors.Join(err, conn.Close())
+}
+
+// Read implements controller.Transport.
+func (t *transport) Read(ctx context.Context, to string) (*messenger.ReadReply, error) {
+	client, err := t.client(to)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Read(ctx)
+	return reply, t.judge(to, err)
 }
 
 // TakeTickets hands a part of a ticket table to another instance.
--- /dev/null
+++ b/steerer/place.go
@@ -0,0 +1,95 @@
+package steerer
+
+import "time"
+
+// state is what this instance has seen of one target.
+type state struct {
+	target      *Target
+	open        int           // flows placed here that have not ended
+	lastAnswer  time.Duration // latest time at which a flow asked for was answered
+	silentUntil time.Duration // passed over until then
+}
+
+// answered notes that the target answered a flow that was asked for at the time at.
+func (st *state) answered(now, at time.Duration) {
+	st.lastAnswer = max(st.lastAnswer, now)
+	if at+silentFor > st.silentUntil {
+		st.silentUntil = 0
+	}
+}
+
+// Weights of the placement.
+const (
+	// farPenalty is the load, in shares of a target's slots, that a target of
+	// another data centre may be ahead before it is preferred.
+	farPenalty = 0.34
+	// coldFactor is how much slower a target is while it is cold.
+	coldFactor = 1.6
+)
+
+// place chooses the target of a new flow: the one with the least flows of this
+// instance for each slot, near ones first. It answers steady load and bursts, where
+// each instance sees a share of the flows and ends of flows come back to it; slow
+// targets keep their flows longer and so get fewer. It returns nil when no target
+// takes new flows.
+func (s *Steerer) place(now time.Duration, r *Route) *state {
+	pool := s.view.pools[s.pick(r)]
+	if st := s.least(now, pool, false); st != nil {
+		return st
+	}
+	return s.least(now, pool, true)
+}
+
+// pick draws the pool of a new flow by the weights of the route.
+func (s *Steerer) pick(r *Route) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Pool
+	}
+	n := s.random.IntN(r.total)
+	for _, share := range r.Shares {
+		n -= share.Weight
+		if n < 0 {
+			return share.Pool
+		}
+	}
+	return r.Shares[0].Pool
+}
+
+// least returns the target of the pool with the lowest cost, drawing among equals.
+func (s *Steerer) least(now time.Duration, pool []*Target, silentToo bool) *state {
+	var best *state
+	var lowest float64
+	equal := 0
+	for _, t := range pool {
+		if !t.Fit {
+			continue
+		}
+		st := s.states[t.Identity]
+		if now < st.silentUntil && !silentToo {
+			continue
+		}
+		c := s.cost(now, st)
+		switch {
+		case best == nil || c < lowest:
+			best, lowest, equal = st, c, 1
+		case c == lowest:
+			equal++
+			if s.random.IntN(equal) == 0 {
+				best = st
+			}
+		}
+	}
+	return best
+}
+
+func (s *Steerer) cost(now time.Duration, st *state) float64 {
+	t := st.target
+	c := float64(st.open+1) / float64(max(t.Slots, 1))
+	if now < t.ColdUntil {
+		c *= coldFactor
+	}
+	if t.DataCentre != s.view.DataCentre {
+		c += farPenalty
+	}
+	return c
+}
--- /dev/null
+++ b/steerer/steerer.go
@@ -0,0 +1,292 @@
+// Package steerer decides where the packets of flows go whose two ends return a
+// label that the instance writes into the opening packet, as connection identifiers
+// do in QUIC load balancing. The label names the target, so any instance forwards a
+// later packet by the label alone: no flow table, owner or relay is needed.
+//
+// A Steerer has no socket, clock or goroutine. It belongs to one caller at a time.
+package steerer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+)
+
+// Flow names a flow by both of its ends.
+type Flow struct {
+	Caller  netip.AddrPort
+	Service netip.AddrPort
+}
+
+// Label is what both ends of a flow return: the low half of the target's identity.
+type Label uint32
+
+// LabelOf returns the label of a target's identity.
+func LabelOf(identity uint64) Label {
+	return Label(identity)
+}
+
+// Flags are the properties of a packet that decisions rest on.
+type Flags uint8
+
+// The flags.
+const (
+	Opening Flags = 1 << iota // asks for a new flow
+	Final                     // the sender has nothing more to send
+	Abort                     // the sender gives the flow up
+)
+
+// Packet is what the decision needs to know of a packet from a caller.
+type Packet struct {
+	Flow  Flow
+	Flags Flags
+	Label Label
+	Copy  uint32 // of an opening packet: how many went before it
+	Ack   uint32 // of any other packet: what the caller has received
+}
+
+// Action is what happens to a packet.
+type Action uint8
+
+// The actions.
+const (
+	Drop Action = iota
+	Forward
+	Reset // tell the caller that the flow does not open
+)
+
+var actionNames = [...]string{"drop", "forward", "reset"}
+
+// String returns the name of the action.
+func (a Action) String() string { return actionNames[a] }
+
+// Reason says what a verdict rests on.
+type Reason string
+
+// The reasons.
+const (
+	ByLabel        Reason = "label"
+	Placed         Reason = "placed"
+	CopyKept       Reason = "copy-kept"       // same target as the packet before
+	CopyMoved      Reason = "copy-moved"      // the first target does not answer
+	NoRoute        Reason = "no-route"        // the address is not in the configuration
+	NoTarget       Reason = "no-target"       // nobody can serve the route
+	UnknownLabel   Reason = "unknown-label"   // no target has it
+	ForeignLabel   Reason = "foreign-label"   // a target of a pool that the route never had
+	NotInitialized Reason = "not-initialized" // no configuration yet
+)
+
+// Reasons lists all reasons.
+var Reasons = []Reason{
+	ByLabel, Placed, CopyKept, CopyMoved, NoRoute, NoTarget, UnknownLabel, ForeignLabel, NotInitialized,
+}
+
+// Verdict is the decision about one packet.
+type Verdict struct {
+	Action Action
+	Reason Reason
+	Target *Target // with Forward
+	Route  *Route  // nil where the address has none
+}
+
+// Times of what is remembered of flows.
+const (
+	openingMemory = 5 * time.Second // copies of an opening packet come within it
+	sweepEvery    = time.Second
+	flowMargin    = 500 * time.Millisecond // beyond a route's timeout
+	silentFor     = 2 * time.Second        // how long a target without answers is passed over
+)
+
+// opened is what is remembered of a flow that this instance placed.
+type opened struct {
+	target   *state
+	route    *Route
+	at       time.Duration
+	deadline time.Duration // it counts as load no longer
+	answered bool          // the caller has got the target's answer
+	ended    bool
+}
+
+// Steerer decides about packets.
+type Steerer struct {
+	view      *View
+	random    *rand.Rand
+	flows     map[Flow]*opened
+	states    map[uint64]*state // by identity
+	allowed   map[poolUse]bool
+	nextSweep time.Duration
+	ended     func(r *Route, lasted time.Duration)
+}
+
+// poolUse says that a route sends, or once sent, flows to a pool.
+type poolUse struct {
+	address netip.AddrPort
+	pool    string
+}
+
+// Option sets a property of a Steerer.
+type Option func(*Steerer)
+
+// WithRandom sets the source of random choices.
+func WithRandom(r *rand.Rand) Option {
+	return func(s *Steerer) { s.random = r }
+}
+
+// WithEnded has f called at the end of every flow that was placed here.
+func WithEnded(f func(r *Route, lasted time.Duration)) Option {
+	return func(s *Steerer) { s.ended = f }
+}
+
+// New returns a Steerer that knows no configuration yet.
+func New(opts ...Option) *Steerer {
+	s := &Steerer{
+		view:    NewView(0, "", nil, nil),
+		flows:   make(map[Flow]*opened),
+		states:  make(map[uint64]*state),
+		allowed: make(map[poolUse]bool),
+		ended:   func(*Route, time.Duration) {},
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	if s.random == nil {
+		s.random = rand.New(rand.NewPCG(1, 2))
+	}
+	return s
+}
+
+// SetView puts a new view into use. Views must come with versions that never fall.
+func (s *Steerer) SetView(v *View) {
+	if v.Version < s.view.Version {
+		return
+	}
+	s.view = v
+	live := make(map[uint64]*state, len(v.targets))
+	for _, t := range v.targets {
+		st := s.states[t.Identity]
+		if st == nil || st.target.Incarnation != t.Incarnation {
+			st = &state{}
+		}
+		st.target = t
+		live[t.Identity] = st
+	}
+	s.states = live
+	for address, r := range v.routes {
+		for _, share := range r.Shares {
+			s.allowed[poolUse{address, share.Pool}] = true
+		}
+	}
+}
+
+// Packet decides about a packet from a caller.
+func (s *Steerer) Packet(now time.Duration, p Packet) Verdict {
+	if now >= s.nextSweep {
+		s.sweep(now)
+	}
+	if p.Flags&Opening != 0 {
+		return s.open(now, p)
+	}
+	target := s.view.byLabel[p.Label]
+	if target == nil {
+		return Verdict{Action: Drop, Reason: UnknownLabel, Route: s.view.routes[p.Flow.Service]}
+	}
+	route := s.view.routes[p.Flow.Service]
+	if route != nil && !s.allowed[poolUse{p.Flow.Service, target.Pool}] {
+		return Verdict{Action: Drop, Reason: ForeignLabel, Route: route}
+	}
+	s.note(now, p)
+	return Verdict{Action: Forward, Reason: ByLabel, Target: target, Route: route}
+}
+
+// note keeps the picture of a flow that was placed here up to date.
+func (s *Steerer) note(now time.Duration, p Packet) {
+	f := s.flows[p.Flow]
+	if f == nil {
+		return
+	}
+	if !f.answered {
+		f.answered = true
+		f.target.answered(now, f.at)
+	}
+	if p.Flags&(Final|Abort) != 0 && !f.ended {
+		f.end()
+		s.ended(f.route, now-f.at)
+	}
+}
+
+func (f *opened) end() {
+	if !f.ended {
+		f.ended = true
+		f.target.open--
+	}
+}
+
+// sweep forgets flows that have ended or whose callers must have given up.
+func (s *Steerer) sweep(now time.Duration) {
+	s.nextSweep = now + sweepEvery
+	for flow, f := range s.flows {
+		if now >= f.deadline {
+			f.end()
+		}
+		if f.ended && now-f.at >= openingMemory {
+			delete(s.flows, flow)
+		}
+	}
+}
+
+// open decides about an opening packet. The copies of one follow it to the same
+// target, because a second target would answer too and confuse the ends about the
+// label, unless the first cannot have answered.
+func (s *Steerer) open(now time.Duration, p Packet) Verdict {
+	if s.view.Version == 0 {
+		return Verdict{Action: Drop, Reason: NotInitialized}
+	}
+	route := s.view.routes[p.Flow.Service]
+	if route == nil {
+		return Verdict{Action: Reset, Reason: NoRoute}
+	}
+	before := s.flows[p.Flow]
+	if before != nil && now-before.at < openingMemory && !s.silent(now, before) {
+		return Verdict{Action: Forward, Reason: CopyKept, Target: before.target.target, Route: route}
+	}
+	reason := Placed
+	if before != nil && now-before.at < openingMemory {
+		reason = CopyMoved
+		before.target.silentUntil = now + silentFor
+	}
+	if before != nil {
+		before.end()
+	}
+	st := s.place(now, route)
+	if st == nil {
+		delete(s.flows, p.Flow)
+		return Verdict{Action: Reset, Reason: NoTarget, Route: route}
+	}
+	st.open++
+	s.flows[p.Flow] = &opened{target: st, route: route, at: now, deadline: now + route.Timeout + flowMargin}
+	return Verdict{Action: Forward, Reason: reason, Target: st.target, Route: route}
+}
+
+// silent tells whether the target of a flow that is asked for again cannot be the
+// one that will answer: it has left, or it has answered nobody since the flow was
+// asked for.
+func (s *Steerer) silent(now time.Duration, f *opened) bool {
+	if f.answered {
+		return false
+	}
+	if s.states[f.target.target.Identity] != f.target || !f.target.target.Fit {
+		return true
+	}
+	return f.target.lastAnswer < f.at && now-f.at >= copyInterval
+}
+
+// copyInterval is the time after which callers repeat an opening packet, less the
+// jitter of the path.
+const copyInterval = 150 * time.Millisecond
+
+// Load returns how many flows placed here are open at each target, by identity.
+func (s *Steerer) Load(f func(t *Target, open int)) {
+	for _, st := range s.states {
+		f(st.target, st.open)
+	}
+}
--- /dev/null
+++ b/voter/read.go
@@ -0,0 +1,71 @@
+package voter
+
+import "time"
+
+// pendingRead waits until a majority has answered a round that began after the
+// read was asked for.
+type pendingRead struct {
+	id    uint64
+	round uint64
+	index uint64
+}
+
+// ReadDone reports that the state as of Index, or any later one, answers the read
+// with that ID.
+type ReadDone struct {
+	ID    uint64
+	Index uint64
+}
+
+// Read begins a linearizable read. It returns the read's ID, which comes back in
+// Output.Reads once a majority has confirmed, in a round sent after this call, that
+// this voter still leads. No clock takes part, so a leader that was frozen or
+// suspended cannot answer with what it held before.
+//
+// It returns a *NotLeaderError at a voter that does not lead, and a *BusyError while
+// the leader has committed nothing in its term. A leader that loses its office
+// forgets its reads; the driver fails them when Role says so.
+func (v *Voter) Read(now time.Duration) (uint64, error) {
+	if v.role != Leader {
+		return 0, &NotLeaderError{Leader: v.leader}
+	}
+	if t, _ := v.log.term(v.commit); t != v.hard.Term {
+		return 0, &BusyError{}
+	}
+	v.readNo++
+	v.broadcast(now)
+	v.reads = append(v.reads, pendingRead{id: v.readNo, round: v.roundNo, index: v.commit})
+	v.finishReads()
+	return v.readNo, nil
+}
+
+// finishReads hands out the reads whose round a majority has answered.
+func (v *Voter) finishReads() {
+	if v.role != Leader {
+		v.reads = nil
+		return
+	}
+	kept := v.reads[:0]
+	for _, r := range v.reads {
+		if !v.answered(r.round) {
+			kept = append(kept, r)
+			continue
+		}
+		v.out.Reads = append(v.out.Reads, ReadDone{ID: r.id, Index: r.index})
+	}
+	v.reads = kept
+}
+
+// answered tells whether a majority, this voter included, answered a round or a
+// later one.
+func (v *Voter) answered(round uint64) bool {
+	m := v.Membership()
+	n := 0
+	for _, id := range m.Voters {
+		p := v.members[id]
+		if id == v.id || (p != nil && p.answered >= round) {
+			n++
+		}
+	}
+	return n >= m.quorum()
+}
--- a/voter/replicate.go
+++ b/voter/replicate.go
@@ -207,6 +207,10 @@
 	if at, ok := v.sentAt(m.Sent); ok {
 		p.heard = max(p.heard, at)
 	}
+	if m.Sent > p.answered {
+		p.answered = m.Sent
+		v.finishReads()
+	}
 	if m.Reject {
 		p.next = max(p.match+1, min(m.LastIndex+1, m.Index))
 		p.next = max(p.next, 1)
--- a/voter/voter.go
+++ b/voter/voter.go
@@ -47,6 +47,7 @@
 	next     uint64
 	heard    time.Duration // send time of the latest message it answered
 	snapshot time.Duration // when a snapshot was last sent
+	answered uint64        // latest round that it answered in this term
 }
 
 // round remembers when a numbered round of messages was sent.
@@ -73,6 +74,8 @@
 	members   map[ID]*progress
 	rounds    []round
 	roundNo   uint64
+	reads     []pendingRead
+	readNo    uint64
 	heard     time.Duration // when a leader was last heard, or a vote given
 	deadline  time.Duration // of the election timer
 	beat      time.Duration // when the next heartbeat is due
@@ -319,6 +322,7 @@
 	v.leader = v.id
 	v.members = make(map[ID]*progress)
 	v.rounds = nil
+	v.reads = nil
 	v.syncMembers(v.campaigns)
 	v.log.append(Entry{Index: v.log.last() + 1, Term: v.hard.Term, Kind: EntryEmpty})
 	v.broadcast(now)
@@ -348,6 +352,7 @@
 	v.role = Follower
 	v.leader = ""
 	v.members = nil
+	v.reads = nil
 	v.resetTimer(now)
 }
 
