controller: an instance that catches up gets the ruleset in force

Cause: commands kept for instances that catch up lost every ruleset but the last one that arrived. When version 46 arrived after 48, the kept one was 46, and an instance that had seen neither stayed on 46.

Ruled out: spread and readiness; the instance fetched within 30 ms of the change.

Change: the ruleset in force is the one that is kept.

--- a/controller/log.go
+++ b/controller/log.go
@@ -144,10 +144,10 @@
 	}
 	before := c.machine.Config().Version
 	answer := c.machine.Apply(index, cmd)
+	c.commands = append(c.commands, messenger.Applied{Index: index, Command: cmd})
 	if cmd.Replace != nil {
-		c.dropReplaced()
+		dropOvertaken(c.commands, rulesetVersion(c.machine.Config()))
 	}
-	c.commands = append(c.commands, messenger.Applied{Index: index, Command: cmd})
 	if len(c.commands) > 2*keptCommands {
 		c.commands = slices.Clone(c.commands[len(c.commands)-keptCommands:])
 	}
--- a/controller/read.go
+++ b/controller/read.go
@@ -206,10 +206,13 @@
 	return cfg.Rules.Version
 }
 
-// dropReplaced forgets the rulesets that a newer one follows, so that an instance that
-// catches up gets the newest only.
-func (c *Controller) dropReplaced() {
-	for i := range c.commands {
-		c.commands[i].Command.Replace = nil
+// dropOvertaken forgets the rulesets other than the one in force, so that an instance
+// that catches up gets that one only. The command that came last need not be it: an
+// older version may arrive after a newer one.
+func dropOvertaken(commands []messenger.Applied, inForce uint64) {
+	for i, a := range commands {
+		if a.Command.Replace != nil && a.Command.Replace.Version != inForce {
+			commands[i].Command.Replace = nil
+		}
 	}
 }
