steerer, gossiper: learn faster after a restart of everything, and reset less

Cause: after all instances lost power, an instance that knew a configuration but no targets yet reset opening packets, which burns a caller's attempts, and the first targets heard of got all callers at once. Seeds were probed one at a time.

Ruled out: start-up time; process and data folder take 40 ms of a store's quota, the rest of the second is the machines' own.

Change: while an instance is still learning it drops what it cannot place, so that the next copy of the opening packet may be placed, and gives a target two flows a slot at most. All seeds are probed while nobody is known; news that begins at an instance goes to all members at once where they are few. Tests of the steerer; three of them failed first and showed that a target that had answered nobody since the start of the process was not taken for silent.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -165,7 +165,7 @@
 
 // Publisher spreads records.
 type Publisher interface {
-	Publish(r gossiper.Record) bool
+	Announce(r gossiper.Record) bool
 }
 
 // Registry holds the targets as one instance knows them. It belongs to the
@@ -229,7 +229,7 @@
 		l.published = now
 		l.sequence = a.Sequence
 		r.take(now, a, r.self, false)
-		p.Publish(r.record(a, gossiper.RankOwn))
+		p.Announce(r.record(a, gossiper.RankOwn))
 	} else {
 		old.Connections, old.Running, old.Load, old.Sequence = a.Connections, a.Running, a.Load, a.Sequence
 		old.Seen = now
@@ -346,7 +346,7 @@
 		delete(r.home, endpoint)
 		a := t.Announcement
 		r.take(now, a, r.self, true)
-		p.Publish(r.record(a, gossiper.RankSuspect))
+		p.Announce(r.record(a, gossiper.RankSuspect))
 	}
 	for endpoint, t := range r.targets {
 		if t.Home == r.self || alive(t.Home) {
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -15,7 +15,7 @@
 // spreader keeps what was published.
 type spreader struct{ records []gossiper.Record }
 
-func (s *spreader) Publish(r gossiper.Record) bool {
+func (s *spreader) Announce(r gossiper.Record) bool {
 	s.records = append(s.records, r)
 	return true
 }
--- a/announcer/identity.go
+++ b/announcer/identity.go
@@ -17,7 +17,7 @@
 		a.State = Gone
 		a.Sequence++
 		r.take(now, a, r.self, false)
-		p.Publish(r.record(a, gossiper.RankOwn))
+		p.Announce(r.record(a, gossiper.RankOwn))
 		delete(r.home, a.Endpoint)
 		return true
 	}
--- a/controller/log.go
+++ b/controller/log.go
@@ -14,10 +14,13 @@
 
 // openJournal reads the data folder and starts the voter from it.
 func (c *Controller) openJournal(identity string) error {
+	began := c.now()
 	j, state, err := journaler.Open(c.set.DataFolder, journaler.WithIdentity(identity))
 	if err != nil {
 		return err
 	}
+	c.log.Info("data-folder-read", "identity", state.Identity, "log-bytes", j.Size(), "entries", len(state.Entries),
+		"snapshot", state.Snapshot.Index, "term", state.Hard.Term, "commit", state.Hard.Commit, "took", c.now()-began)
 	id := voter.ID(c.set.Self.Name + "#" + state.Identity)
 	if state.Snapshot.Index > 0 {
 		if err := c.machine.Restore(state.Snapshot.Data); err != nil {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -34,7 +34,9 @@
 	reportEvery     = 30 * time.Second
 	reportAgain     = 2 * time.Second
 	reportTimes     = 2
-	versionFanout   = 3 // instances that are told of a new version at random
+	seedPeriod      = 100 * time.Millisecond // between probes of seeds while nobody is known
+	everybody       = 16                     // members that news of this instance's own goes to at once
+	versionFanout   = 3                      // instances that are told of a new version at random
 )
 
 // Member is what this instance believes of another.
@@ -85,6 +87,7 @@
 	probeNumber uint64
 	revision    uint64
 	synced      bool
+	urgent      []string // keys of records announced here since the last tick
 	news        []Record
 	out         []Envelope
 }
@@ -189,6 +192,46 @@
 	return true
 }
 
+// Announce spreads a record that begins at this instance. In a small deployment the
+// next tick sends it to every live member, where rumours would take several rounds.
+func (g *Gossiper) Announce(r Record) bool {
+	if !g.Publish(r) {
+		return false
+	}
+	g.urgent = append(g.urgent, r.Key)
+	return true
+}
+
+// spreadUrgent sends what has been announced here to all members, if they are few.
+func (g *Gossiper) spreadUrgent() {
+	keys := g.urgent
+	g.urgent = nil
+	if len(keys) == 0 || g.alive > everybody {
+		return
+	}
+	var batches [][]Record
+	size := maxDatagram
+	for _, k := range keys {
+		r, ok := g.store.records[k]
+		if !ok {
+			continue
+		}
+		if n := recordSize(r); size+n > maxDatagram {
+			batches = append(batches, nil)
+			size = 0
+		}
+		size += recordSize(r)
+		batches[len(batches)-1] = append(batches[len(batches)-1], r)
+	}
+	for _, m := range g.Members() {
+		for _, records := range batches {
+			if m.Alive() {
+				g.send(m.Peer, Message{Kind: KindRumor, Records: records})
+			}
+		}
+	}
+}
+
 // News returns the records other than instances' that were merged since the last
 // call, oldest first.
 func (g *Gossiper) News() []Record {
@@ -248,6 +291,7 @@
 		g.nextRumor = now + g.period/4
 		g.spreadRumors()
 	}
+	g.spreadUrgent()
 	g.report(now)
 	return g.flush()
 }
--- a/gossiper/probe.go
+++ b/gossiper/probe.go
@@ -6,8 +6,18 @@
 )
 
 // probeNext probes the next member of the round; at the end of a round, a dead
-// member or a seed instead.
+// member or a seed instead. An instance that knows nobody probes all seeds: some of
+// them may have started earlier than others.
 func (g *Gossiper) probeNext(now time.Duration) {
+	if g.alive == 0 {
+		g.nextProbe = now + seedPeriod
+		for _, to := range g.seeds {
+			if to != g.self.Peer {
+				g.withRumors(to, Message{Kind: KindPing, Sequence: g.nextSequence()})
+			}
+		}
+		return
+	}
 	for len(g.round) > 0 {
 		name := g.round[0]
 		g.round = g.round[1:]
--- a/server/node.go
+++ b/server/node.go
@@ -63,6 +63,7 @@
 // StartNode starts an instance. The settings must have passed Validate. The error is
 // that of the first part that could not start.
 func StartNode(set configurer.Node, clock Clock, log *slog.Logger, codec diverter.Codec, api API, ready Ready) (*Node, error) {
+	log.Info("starting", "instance", set.Name)
 	n := &Node{set: set, clock: clock, start: clock.Now(), log: log, meter: meter.New(), transport: newTransport(nil, log)}
 	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
 	if err != nil {
--- a/steerer/place.go
+++ b/steerer/place.go
@@ -23,6 +23,10 @@
 	// farPenalty is the load, in shares of a target's slots, that a target of
 	// another data centre may be ahead before it is preferred.
 	farPenalty = 0.34
+	// learningLimit is how many flows a target is given for each slot while targets are
+	// still being learnt. The first few that are heard of after a restart of everything
+	// would be buried under all callers otherwise.
+	learningLimit = 2
 	// coldFactor is how much slower a target is while it is cold.
 	coldFactor = 1.6
 )
@@ -68,6 +72,9 @@
 		if now < st.silentUntil && !silentToo {
 			continue
 		}
+		if !s.view.Complete && st.open >= learningLimit*max(t.Slots, 1) {
+			continue
+		}
 		c := s.cost(now, st)
 		switch {
 		case best == nil || c < lowest:
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -243,7 +243,7 @@
 	}
 	route := s.view.routes[p.Flow.Service]
 	if route == nil {
-		return Verdict{Action: Reset, Reason: NoRoute}
+		return Verdict{Action: s.refusal(), Reason: NoRoute}
 	}
 	before := s.flows[p.Flow]
 	if before != nil && now-before.at < openingMemory && !s.silent(now, before) {
@@ -260,13 +260,23 @@
 	st := s.place(now, route)
 	if st == nil {
 		delete(s.flows, p.Flow)
-		return Verdict{Action: Reset, Reason: NoTarget, Route: route}
+		return Verdict{Action: s.refusal(), Reason: NoTarget, Route: route}
 	}
 	st.open++
 	s.flows[p.Flow] = &opened{target: st, route: route, at: now, deadline: now + route.Timeout + flowMargin}
 	return Verdict{Action: Forward, Reason: reason, Target: st.target, Route: route}
 }
 
+// refusal is what becomes of an opening packet that cannot be placed. A reset ends the
+// caller's attempt, so it is sent only when this instance knows all there is to know;
+// while it is still learning after a start, the next copy may well be placed.
+func (s *Steerer) refusal() Action {
+	if s.view.Complete {
+		return Reset
+	}
+	return Drop
+}
+
 // silent tells whether the target of a flow that is asked for again cannot be the
 // one that will answer: it has left, or it has answered nobody since the flow was
 // asked for.
@@ -277,7 +287,7 @@
 	if s.states[f.target.target.Identity] != f.target || !f.target.target.Fit {
 		return true
 	}
-	return f.target.lastAnswer < f.at && now-f.at >= copyInterval
+	return f.target.lastAnswer <= f.at && now-f.at >= copyInterval
 }
 
 // copyInterval is the time after which callers repeat an opening packet, less the
--- /dev/null
+++ b/steerer/steerer_test.go
@@ -0,0 +1,249 @@
+package steerer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	menu  = netip.MustParseAddrPort("198.18.0.1:443")
+	packs = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+func target(identity uint64, pool string, change ...func(*Target)) Target {
+	t := Target{
+		Identity: identity, Incarnation: 1000 + identity, Pool: pool, Slots: 2, Fit: true, DataCentre: "dc1",
+		Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(identity >> 8), byte(identity)}), 80),
+	}
+	for _, f := range change {
+		f(&t)
+	}
+	return t
+}
+
+func unfit(t *Target) { t.Fit = false }
+
+func in(dc string) func(*Target) { return func(t *Target) { t.DataCentre = dc } }
+
+func view(version uint64, targets ...Target) *View {
+	routes := []Route{
+		{Name: "menu", Address: menu, Timeout: time.Second, Shares: []Share{{Pool: "menus", Weight: 1}}},
+		{Name: "packs", Address: packs, Timeout: time.Second, Shares: []Share{{Pool: "packs", Weight: 1}}},
+	}
+	return NewView(version, "dc1", routes, targets).WithComplete(true)
+}
+
+func flow(n int, to netip.AddrPort) Flow {
+	return Flow{Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, 1}), uint16(n+1)), Service: to}
+}
+
+func opening(n int, to netip.AddrPort, copies uint32) Packet {
+	return Packet{Flow: flow(n, to), Flags: Opening, Copy: copies}
+}
+
+func started(v *View) *Steerer {
+	s := New(WithRandom(rand.New(rand.NewPCG(1, 1))))
+	s.SetView(v)
+	return s
+}
+
+func TestLaterPacketsFollowTheLabelOnAnyInstance(t *testing.T) {
+	is := is.New(t)
+	v := view(1, target(0xab00000001, "menus"), target(0xab00000002, "menus"))
+	one, other := started(v), started(v)
+	got := one.Packet(0, opening(1, menu, 0))
+	is.Equal(got.Action, Forward)
+	later := other.Packet(time.Millisecond, Packet{Flow: flow(1, menu), Label: got.Target.Label()})
+	is.Equal(later.Action, Forward)
+	is.Equal(later.Target.Identity, got.Target.Identity)
+}
+
+func TestPacketsNeverReachAnotherService(t *testing.T) {
+	is := is.New(t)
+	s := started(view(1, target(1, "menus"), target(2, "packs")))
+	got := s.Packet(0, Packet{Flow: flow(1, menu), Label: 2})
+	is.Equal(got.Action, Drop)
+	is.Equal(got.Reason, ForeignLabel)
+	is.Equal(s.Packet(0, Packet{Flow: flow(1, menu), Label: 77}).Reason, UnknownLabel)
+}
+
+// A configuration may move a route to another pool; flows that were open before stay
+// where they are.
+func TestOpenFlowsOutliveAChangeOfTheirPool(t *testing.T) {
+	is := is.New(t)
+	s := started(view(1, target(1, "menus"), target(2, "packs")))
+	routes := []Route{{Name: "menu", Address: menu, Timeout: time.Second, Shares: []Share{{Pool: "packs", Weight: 1}}}}
+	s.SetView(NewView(2, "dc1", routes, []Target{target(1, "menus"), target(2, "packs")}).WithComplete(true))
+	is.Equal(s.Packet(0, Packet{Flow: flow(1, menu), Label: 1}).Target.Identity, uint64(1))
+	is.Equal(s.Packet(0, opening(2, menu, 0)).Target.Identity, uint64(2))
+	is.Equal(s.Packet(0, Packet{Flow: flow(3, packs), Label: 2}).Action, Forward) // its route is gone
+	is.Equal(s.Packet(0, opening(4, packs, 0)).Reason, NoRoute)
+}
+
+func TestAnOlderViewIsNotPutIntoUse(t *testing.T) {
+	is := is.New(t)
+	s := started(view(5, target(1, "menus")))
+	s.SetView(view(4))
+	is.Equal(s.Packet(0, opening(1, menu, 0)).Action, Forward)
+}
+
+func TestLeavingTargetsGetNoNewFlowsButKeepTheirs(t *testing.T) {
+	is := is.New(t)
+	s := started(view(1, target(1, "menus", unfit), target(2, "menus")))
+	for n := range 50 {
+		is.Equal(s.Packet(0, opening(n, menu, 0)).Target.Identity, uint64(2))
+	}
+	is.Equal(s.Packet(0, Packet{Flow: flow(99, menu), Label: 1}).Action, Forward)
+}
+
+func TestCopiesOfAnOpeningPacket(t *testing.T) {
+	both := func(change ...func(*Target)) *View {
+		return view(1, target(1, "menus", change...), target(2, "menus"))
+	}
+	for _, c := range []struct {
+		name   string
+		during func(s *Steerer, first uint64)
+		at     time.Duration
+		moved  bool
+	}{
+		{"at once", func(*Steerer, uint64) {}, time.Millisecond, false},
+		{"no answer to anybody", func(*Steerer, uint64) {}, 200 * time.Millisecond, true},
+		{"the target answers others", func(s *Steerer, first uint64) {
+			for n := 10; n < 14; n++ {
+				v := s.Packet(50*time.Millisecond, opening(n, menu, 0))
+				s.Packet(60*time.Millisecond, Packet{Flow: flow(n, menu), Label: v.Target.Label()})
+			}
+		}, 200 * time.Millisecond, false},
+		{"answered already", func(s *Steerer, first uint64) {
+			s.Packet(5*time.Millisecond, Packet{Flow: flow(1, menu), Label: LabelOf(first)})
+		}, 200 * time.Millisecond, false},
+		{"the target is leaving", func(s *Steerer, first uint64) {
+			a, b := target(1, "menus"), target(2, "menus")
+			a.Fit, b.Fit = first != 1, first != 2
+			s.SetView(view(1, a, b))
+		}, 20 * time.Millisecond, true},
+		{"the target has started anew", func(s *Steerer, first uint64) {
+			a, b := target(1, "menus"), target(2, "menus")
+			a.Incarnation += 10
+			b.Incarnation += 10
+			s.SetView(view(1, a, b))
+		}, 20 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := started(both())
+			first := s.Packet(0, opening(1, menu, 0)).Target.Identity
+			c.during(s, first)
+			again := s.Packet(c.at, opening(1, menu, 1))
+			is.Equal(again.Action, Forward)
+			is.Equal(again.Reason == CopyMoved, c.moved)
+			if !c.moved {
+				is.Equal(again.Target.Identity, first)
+			}
+		})
+	}
+}
+
+func TestASilentTargetIsPassedOverAndComesBack(t *testing.T) {
+	is := is.New(t)
+	s := started(view(1, target(1, "menus"), target(2, "menus")))
+	first := s.Packet(0, opening(1, menu, 0)).Target.Identity
+	second := s.Packet(200*time.Millisecond, opening(1, menu, 1)).Target.Identity
+	is.True(second != first)
+	for n := 10; n < 30; n++ {
+		is.Equal(s.Packet(300*time.Millisecond, opening(n, menu, 0)).Target.Identity, second)
+	}
+	got := make(map[uint64]bool)
+	for n := 30; n < 60; n++ {
+		got[s.Packet(200*time.Millisecond+silentFor, opening(n, menu, 0)).Target.Identity] = true
+	}
+	is.True(got[first])
+}
+
+func TestPlacementPrefersNearAndFreeTargets(t *testing.T) {
+	is := is.New(t)
+	s := started(view(1, target(1, "menus"), target(2, "menus"), target(3, "menus", in("dc2"))))
+	count := make(map[uint64]int)
+	for n := range 40 {
+		count[s.Packet(0, opening(n, menu, 0)).Target.Identity]++
+		is.True(n > 1 || count[3] == 0) // near ones first
+	}
+	is.True(count[3] > 0)                                 // far targets help under a burst
+	is.True(count[3] <= count[1] && count[3] <= count[2]) // and stay behind the near ones
+	is.True(count[1]-count[2] <= 1 && count[2]-count[1] <= 1)
+}
+
+func TestEndsOfFlowsFreeTheirTarget(t *testing.T) {
+	is := is.New(t)
+	s := started(view(1, target(1, "menus")))
+	for n := range 10 {
+		s.Packet(0, opening(n, menu, 0))
+	}
+	for n := range 5 {
+		s.Packet(time.Millisecond, Packet{Flow: flow(n, menu), Label: 1})
+		s.Packet(time.Millisecond, Packet{Flow: flow(n, menu), Label: 1, Flags: Final})
+		s.Packet(time.Millisecond, Packet{Flow: flow(n, menu), Label: 1, Flags: Final})
+	}
+	load := func() (n int) {
+		s.Load(func(_ *Target, open int) { n += open })
+		return n
+	}
+	is.Equal(load(), 5)
+	s.Packet(10*time.Second, Packet{Flow: flow(99, menu), Label: 1}) // callers of the others have given up
+	is.Equal(load(), 0)
+	is.Equal(len(s.flows), 0)
+}
+
+func TestNothingIsResetWhileTargetsAreStillLearnt(t *testing.T) {
+	is := is.New(t)
+	s := started(view(1).WithComplete(false))
+	is.Equal(s.Packet(0, opening(1, menu, 0)).Action, Drop)
+	is.Equal(s.Packet(0, opening(2, netip.MustParseAddrPort("198.18.9.9:1"), 0)).Action, Drop)
+	s.SetView(view(1))
+	is.Equal(s.Packet(0, opening(3, menu, 0)).Action, Reset)
+}
+
+func TestOneLabelIsNeverSharedByTwoTargets(t *testing.T) {
+	is := is.New(t)
+	old, young := target(0x0100000007, "menus"), target(0x0200000007, "menus")
+	old.Incarnation, young.Incarnation = 1, 2
+	v := view(1, young, old)
+	is.Equal(v.byLabel[7].Identity, old.Identity) // its flows use the label
+	is.Equal(len(v.pools["menus"]), 1)
+	old.Gone = true
+	v = view(1, young, old)
+	is.Equal(v.byLabel[7].Identity, young.Identity)
+	is.Equal(v.Targets(), 1)
+}
+
+func TestWeightsOfARoute(t *testing.T) {
+	is := is.New(t)
+	routes := []Route{{Address: menu, Timeout: time.Second, Shares: []Share{{"menus", 90}, {"packs", 10}, {"none", 0}}}}
+	s := started(NewView(1, "dc1", routes, []Target{target(1, "menus"), target(2, "packs")}).WithComplete(true))
+	n := 0
+	for i := range 2000 {
+		if s.Packet(0, opening(i, menu, 0)).Target.Identity == 2 {
+			n++
+		}
+	}
+	is.True(n > 140 && n < 260)
+}
+
+func BenchmarkKnownFlow(b *testing.B) {
+	targets := make([]Target, 150)
+	for i := range targets {
+		targets[i] = target(uint64(i+1), "menus")
+	}
+	s := started(view(1, targets...))
+	p := Packet{Flow: flow(1, menu), Label: 17}
+	b.ReportAllocs()
+	for b.Loop() {
+		if s.Packet(0, p).Action != Forward {
+			b.Fatal("not forwarded")
+		}
+	}
+}
--- a/steerer/view.go
+++ b/steerer/view.go
@@ -43,10 +43,13 @@
 type View struct {
 	Version    uint64 // of the configuration
 	DataCentre string // of this instance
-	routes     map[netip.AddrPort]*Route
-	pools      map[string][]*Target
-	targets    []*Target
-	byLabel    map[Label]*Target
+	// Complete says that nothing is missing: an address without a route has none, and
+	// a pool without targets is empty. Before, callers are left to ask again.
+	Complete bool
+	routes   map[netip.AddrPort]*Route
+	pools    map[string][]*Target
+	targets  []*Target
+	byLabel  map[Label]*Target
 }
 
 // NewView returns a view. Of two targets with one identity the later incarnation
@@ -109,6 +112,13 @@
 	v.pools[t.Pool] = slices.DeleteFunc(v.pools[t.Pool], is)
 }
 
+// WithComplete returns the view marked as complete or not.
+func (v *View) WithComplete(complete bool) *View {
+	next := *v
+	next.Complete = complete
+	return &next
+}
+
 // Targets returns the number of targets that take new flows.
 func (v *View) Targets() int {
 	n := 0
