--- a/voter/cluster_test.go
+++ b/voter/cluster_test.go
@@ -62,6 +62,7 @@
 	faults  []string // broken invariants
 	leaders map[uint64]voter.ID
 	applied map[uint64]string // position to content, over all nodes
+	onRead  func(n *node, done voter.ReadDone)
 }
 
 func newCluster(seed uint64, n int, f flaw) *cluster {
@@ -159,6 +160,9 @@
 	for _, e := range out.Committed {
 		c.apply(n, e)
 	}
+	for _, done := range out.Reads {
+		c.onRead(n, done)
+	}
 	c.check(n)
 }
 
