journaler: make the log before the identity

Cause: power lost between the identity and the log of a new data folder left a folder that was refused as damaged ever after.

Change: an empty log is made and synced first; an identity then means that there is a log. TestIdentityComesAfterTheLog fails before.

Ruled out: taking a missing log for a fresh folder, which would hide a lost one.

--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -134,9 +134,26 @@
 	if s.Identity == "" {
 		s.Identity = newIdentity()
 	}
+	// The log goes first: a folder with an identity but no log is a damaged one, and
+	// power may be lost between the two.
+	if err := j.createLog(); err != nil {
+		return err
+	}
 	return j.replace(IdentityFile, []byte(s.Identity))
 }
 
+// createLog makes an empty log in a folder that has no identity yet.
+func (j *Journal) createLog() error {
+	f, err := os.OpenFile(filepath.Join(j.folder, LogFile), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "create log")
+	}
+	if err := errors.Join(f.Sync(), f.Close(), syncFolder(j.folder)); err != nil {
+		return eris.Wrap(err, "sync log")
+	}
+	return nil
+}
+
 func newIdentity() string {
 	var b [6]byte
 	rand.Read(b[:]) // never fails
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -138,3 +139,37 @@
 		is.True(errors.Is(stopped, errFull))
 	}
 }
+
+// Power may be lost at any point while a folder is first made. What is left behind is
+// a fresh folder or a usable one.
+func TestFolderWhoseMakingWasCutShort(t *testing.T) {
+	for _, left := range [][]string{{}, {LogFile}, {LogFile, IdentityFile + temporary}, {LogFile, IdentityFile}} {
+		is := is.New(t)
+		folder := t.TempDir()
+		j, _, err := Open(folder, WithIdentity("first"))
+		is.NoErr(err)
+		is.NoErr(j.Close())
+		is.NoErr(os.WriteFile(filepath.Join(folder, IdentityFile+temporary), nil, 0o600))
+		for _, name := range []string{LogFile, IdentityFile, IdentityFile + temporary} {
+			if !slices.Contains(left, name) {
+				is.NoErr(os.Remove(filepath.Join(folder, name)))
+			}
+		}
+		j, s, err := Open(folder, WithIdentity("second"))
+		is.NoErr(err)
+		is.Equal(s.Fresh, !slices.Contains(left, IdentityFile))
+		is.NoErr(j.Save(&voter.HardState{Term: 1}, nil))
+		is.NoErr(j.Close())
+	}
+}
+
+// The identity is made durable last, so a folder that has one also has a log.
+func TestIdentityComesAfterTheLog(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	_, _, err := Open(folder, withFile(func(f file) file { return failing{file: f, syncs: true} }))
+	is.True(err != nil)
+	_, err = os.Stat(filepath.Join(folder, LogFile))
+	is.NoErr(err)
+	is.True(Empty(folder))
+}
