diverter, steerer: packets wait while an instance is still learning

Cause: after a restart of everything an instance dropped opening packets that it could not place yet, and callers lost 200 or 400 ms until their next copy. Later packets of flows that had been open before were lost too.

Change: while the view is not complete such packets are held, newest first, bounded in number and by half of the route's timeout; then the caller is refused at once. A flow counts as load only while its target works on it: 100 ms until it opens, not between requests. Settings are read again on SIGHUP and every five seconds; seeds are what can change. The placement is played in virtual time against random placement.

Tried and taken out: instances told each other the flows at each target every 150 ms, and a target with twice or four times as many flows as slots got no more.

--- a/cmd/almondpick/node.go
+++ b/cmd/almondpick/node.go
@@ -4,19 +4,27 @@
 	"context"
 	"flag"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 
+	"almondpick/configurer"
 	"almondpick/controller"
 	"almondpick/platform"
 	"almondpick/server"
 )
 
+// settingsPoll is how often the settings file is looked at for changes that no signal
+// tells of.
+const settingsPoll = 5 * time.Second
+
 type nodeCommand struct {
 	logLevel string
 	metrics  string
@@ -42,18 +50,11 @@
 // Execute implements subcommands.Command.
 func (c *nodeCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	log := newLogger(os.Stdout, c.logLevel, nil)
-	set, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	set, err := c.settings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	if c.metrics != "" {
-		set.MetricsAddress = set.Name + ":" + c.metrics
-	}
-	if err := set.Validate(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitUsageError
-	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	codec := platform.Codec{}
@@ -66,12 +67,7 @@
 		log.Error("start-failed", "error", err)
 		return subcommands.ExitFailure
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		log.Info("reload", "settings", "unchanged")
-	}
+	c.watch(n, set, signals, log)
 	ctx, cancel := context.WithTimeout(context.Background(), set.StopGrace)
 	defer cancel()
 	if err := n.Stop(ctx); err != nil {
@@ -80,3 +76,45 @@
 	}
 	return subcommands.ExitSuccess
 }
+
+// watch puts changed settings into use, with or without a signal, until the instance
+// is asked to stop.
+func (c *nodeCommand) watch(n *server.Node, set configurer.Node, signals <-chan os.Signal, log *slog.Logger) {
+	ticks, stop := systemClock{}.Ticker(settingsPoll)
+	defer stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+			log.Info("reload-asked")
+		case <-ticks:
+		}
+		next, err := c.settings()
+		if err != nil {
+			log.Warn("reload-refused", "error", err)
+			continue
+		}
+		if reflect.DeepEqual(next, set) {
+			continue
+		}
+		if err := n.Reload(context.Background(), next); err != nil {
+			log.Warn("reload-failed", "error", err)
+			continue
+		}
+		set = next
+	}
+}
+
+// settings reads and checks the settings.
+func (c *nodeCommand) settings() (configurer.Node, error) {
+	set, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return set, err
+	}
+	if c.metrics != "" {
+		set.MetricsAddress = set.Name + ":" + c.metrics
+	}
+	return set, set.Validate()
+}
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -55,6 +55,15 @@
 	return w, nil
 }
 
+// SetSeeds replaces the peer addresses that are contacted while nobody is known. It
+// returns a *ClosedError.
+func (c *Controller) SetSeeds(ctx context.Context, seeds []string) error {
+	if !c.do(ctx, func() { c.gossip.SetSeeds(seeds) }) {
+		return &ClosedError{}
+	}
+	return nil
+}
+
 // Leave makes the instance stop owning flows and tell the others so.
 func (c *Controller) Leave(ctx context.Context) error {
 	if !c.do(ctx, func() { c.leaving = true }) {
--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -52,7 +52,7 @@
 
 // Counters of the door.
 type Counters struct {
-	Received, Forwarded, Refused, Dropped, Malformed, SendFailed atomic.Uint64
+	Received, Forwarded, Refused, Dropped, Held, Expired, Malformed, SendFailed atomic.Uint64
 }
 
 // Diverter is a running door.
@@ -69,6 +69,7 @@
 	mu      sync.Mutex
 	steerer *steerer.Steerer
 	version uint64
+	holder  holder
 }
 
 // Option sets a property of a Diverter.
@@ -147,7 +148,6 @@
 	defer d.loops.Done()
 	room := d.codec.Headroom()
 	buffer := make([]byte, room+packetSize)
-	refusal := make([]byte, 0, packetSize)
 	for {
 		n, _, err := d.conn.ReadFromUDPAddrPort(buffer[room:])
 		if errors.Is(err, net.ErrClosed) {
@@ -159,26 +159,83 @@
 			continue
 		}
 		d.counters.Received.Add(1)
-		refusal = d.packet(buffer[:room+n], refusal[:0])
+		now := d.clock.Now().Sub(d.start)
+		d.packet(now, buffer[:room+n], 0)
+		d.replay(now)
 	}
 }
 
-// packet handles the packet that begins after the headroom of b. refusal is a buffer
-// for an answer, which it returns.
-func (d *Diverter) packet(b, refusal []byte) []byte {
+// replay decides again about packets that wait.
+func (d *Diverter) replay(now time.Duration) {
+	d.mu.Lock()
+	due, expired := d.holder.take(now)
+	d.mu.Unlock()
+	for _, o := range due {
+		if d.packet(now, o.packet, max(now-o.first, 1)) == steerer.Hold {
+			d.mu.Lock()
+			d.holder.keep(o)
+			d.mu.Unlock()
+		}
+	}
+	for _, o := range expired {
+		d.expire(now, o)
+	}
+}
+
+// expire gives up a packet that has waited too long. The caller of a flow that did not
+// open is told at once; no target has seen it.
+func (d *Diverter) expire(now time.Duration, o held) {
+	d.counters.Expired.Add(1)
+	p, err := d.codec.Read(o.packet[d.codec.Headroom():])
+	if err != nil || !o.opens {
+		return
+	}
+	v := steerer.Verdict{Action: steerer.Reset, Reason: steerer.HeldTooLong}
+	d.observer.Decided(v)
+	d.carryOut(o.packet, p, v)
+	d.report(now, p, v, d.currentVersion())
+}
+
+func (d *Diverter) currentVersion() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version
+}
+
+// packet decides about the packet that begins after the headroom of b and carries the
+// decision out. waited is how long it has been held, 0 for one that has just come; that
+// one is kept if it has to wait.
+func (d *Diverter) packet(now time.Duration, b []byte, waited time.Duration) steerer.Action {
 	room := d.codec.Headroom()
 	p, err := d.codec.Read(b[room:])
 	if err != nil {
 		d.counters.Malformed.Add(1)
 		d.log.Debug("packet-malformed", "error", err)
-		return refusal
+		return steerer.Drop
 	}
-	now := d.clock.Now().Sub(d.start)
+	p.Waited = waited
+	fresh := waited == 0
 	d.mu.Lock()
 	v := d.steerer.Packet(now, p)
 	version := d.version
+	full := v.Action == steerer.Hold && fresh && !d.holder.hold(now, p, b)
 	d.mu.Unlock()
+	if full {
+		v.Action = steerer.Drop
+	}
+	if v.Action == steerer.Hold && !fresh {
+		return steerer.Hold
+	}
 	d.observer.Decided(v)
+	d.carryOut(b, p, v)
+	if v.Reason != steerer.ByLabel {
+		d.report(now, p, v, version)
+	}
+	return v.Action
+}
+
+func (d *Diverter) carryOut(b []byte, p steerer.Packet, v steerer.Verdict) {
+	room := d.codec.Headroom()
 	switch v.Action {
 	case steerer.Forward:
 		if p.Flags&steerer.Opening != 0 {
@@ -188,16 +245,13 @@
 		d.send(b, v.Target.Endpoint)
 		d.counters.Forwarded.Add(1)
 	case steerer.Reset:
-		refusal = d.codec.Refuse(refusal, p)
-		d.send(refusal, d.codec.CallerAddress(p))
+		d.send(d.codec.Refuse(nil, p), d.codec.CallerAddress(p))
 		d.counters.Refused.Add(1)
+	case steerer.Hold:
+		d.counters.Held.Add(1)
 	default:
 		d.counters.Dropped.Add(1)
 	}
-	if v.Reason != steerer.ByLabel {
-		d.report(now, p, v, version)
-	}
-	return refusal
 }
 
 func (d *Diverter) send(b []byte, to netip.AddrPort) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -192,6 +192,11 @@
 	return true
 }
 
+// SetSeeds replaces the addresses that are contacted while no member is known.
+func (g *Gossiper) SetSeeds(addrs []string) {
+	g.seeds = addrs
+}
+
 // Announce spreads a record that begins at this instance. In a small deployment the
 // next tick sends it to every live member, where rumours would take several rounds.
 func (g *Gossiper) Announce(r Record) bool {
--- a/server/node.go
+++ b/server/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -182,7 +183,7 @@
 		}
 		kind, body, err := keys.Open(b[:size])
 		if err != nil || kind != messenger.DatagramGossip {
-			n.log.Debug("datagram-refused", "from", from, "error", err)
+			n.log.Debug("datagram-refused", "from", from, "kind", kind, "error", err)
 			continue
 		}
 		if taken, err := n.control.Gossip(from.String(), body); err != nil || !taken {
@@ -222,6 +223,21 @@
 	return w != nil && w.Ready && !n.stopping.Load()
 }
 
+// Reload puts new settings into use. Only the seeds can change while the instance runs;
+// a change of anything else is logged and takes effect at the next start.
+func (n *Node) Reload(ctx context.Context, set configurer.Node) error {
+	same := set
+	same.Seeds, same.FirstStart = n.set.Seeds, n.set.FirstStart
+	if !reflect.DeepEqual(same, n.set) {
+		n.log.Warn("reload-partial", "reason", "settings other than seeds need a restart")
+	}
+	if err := n.control.SetSeeds(ctx, set.Seeds); err != nil {
+		return err
+	}
+	n.log.Info("reload", "seeds", set.Seeds)
+	return nil
+}
+
 // Stop stops the instance as planned: it is out of the fabric's rotation before it
 // closes, and forwards until then. ctx cuts the stop short.
 func (n *Node) Stop(ctx context.Context) error {
--- /dev/null
+++ b/steerer/load_test.go
@@ -0,0 +1,258 @@
+package steerer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The load that the policies are played under: one service of a small deployment, a
+// little over half of its slots in use.
+const (
+	loadTargets   = 14
+	loadSlots     = 3
+	loadQueue     = 12 // requests that a target queues; it sheds what is beyond
+	loadInstances = 6
+	loadRate      = 400.0 // requests a second
+	loadWork      = 58 * time.Millisecond
+	loadAim       = 250 * time.Millisecond
+	loadTimeout   = 1500 * time.Millisecond
+	loadStep      = time.Millisecond
+)
+
+// job is one request of a caller.
+type job struct {
+	flow     Flow
+	instance int
+	sent     time.Duration
+	copies   uint32
+	open     bool // a target has it
+	over     bool
+	target   int
+}
+
+// working is a request on a slot.
+type working struct {
+	job  *job
+	ends time.Duration
+}
+
+// server is a target with its slots and its queue.
+type server struct {
+	slots []working
+	queue []*job
+	slow  float64
+	dead  bool
+}
+
+// world plays callers, instances and targets in virtual time.
+type world struct {
+	now       time.Duration
+	random    *rand.Rand
+	instances []*Steerer
+	servers   []*server
+	jobs      []*job
+	held      map[*job]time.Duration
+	blind     bool // the baseline: a random target for each flow
+	number    int
+	inAim     map[int]int // by second of sending
+	asked     map[int]int
+}
+
+func newWorld(blind bool) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(7, 7)), held: make(map[*job]time.Duration), blind: blind,
+		inAim: make(map[int]int), asked: make(map[int]int),
+	}
+	for range loadTargets {
+		w.servers = append(w.servers, &server{slow: 1})
+	}
+	w.restart()
+	w.learn(loadTargets, true)
+	return w
+}
+
+// restart starts all instances anew.
+func (w *world) restart() {
+	w.instances = nil
+	for i := range loadInstances {
+		w.instances = append(w.instances, New(WithRandom(rand.New(rand.NewPCG(uint64(i), w.random.Uint64())))))
+	}
+}
+
+// learn gives every instance a view with the first n targets.
+func (w *world) learn(n int, complete bool) {
+	for _, s := range w.instances {
+		var targets []Target
+		for i := range n {
+			targets = append(targets, target(uint64(i+1), "menus", func(t *Target) { t.Slots = loadSlots }))
+		}
+		routes := []Route{{Address: menu, Timeout: loadTimeout, Shares: []Share{{Pool: "menus", Weight: 1}}}}
+		s.SetView(NewView(1, "dc1", routes, targets).WithComplete(complete))
+	}
+}
+
+func (w *world) play(until time.Duration) {
+	for w.now < until {
+		w.now += loadStep
+		if w.random.Float64() < loadRate*loadStep.Seconds() {
+			w.number++
+			j := &job{instance: w.random.IntN(loadInstances), sent: w.now, flow: Flow{
+				Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(w.number >> 16), 1}), uint16(w.number)), Service: menu,
+			}}
+			w.asked[int(w.now/time.Second)]++
+			w.jobs = append(w.jobs, j)
+			w.ask(j)
+		}
+		w.callers()
+		w.work()
+	}
+}
+
+// callers repeat opening packets and give up.
+func (w *world) callers() {
+	for _, j := range w.jobs {
+		age := w.now - j.sent
+		if age >= loadTimeout {
+			j.over = true
+		}
+		if j.open || j.over {
+			continue
+		}
+		if (j.copies == 0 && age >= 200*time.Millisecond) || (j.copies == 1 && age >= 600*time.Millisecond) {
+			j.copies++
+			w.ask(j)
+		}
+	}
+	w.jobs = slices.DeleteFunc(w.jobs, func(j *job) bool { return j.over && !j.open })
+	for j, since := range w.held {
+		p := Packet{Flow: j.flow, Flags: Opening, Copy: j.copies, Waited: w.now - since}
+		w.decide(j, w.instances[j.instance].Packet(w.now, p))
+	}
+}
+
+func (w *world) ask(j *job) {
+	if w.blind {
+		w.accept(j, w.random.IntN(loadTargets))
+		return
+	}
+	w.decide(j, w.instances[j.instance].Packet(w.now, Packet{Flow: j.flow, Flags: Opening, Copy: j.copies}))
+}
+
+func (w *world) decide(j *job, v Verdict) {
+	switch {
+	case v.Action == Hold && w.held[j] == 0:
+		w.held[j] = w.now
+		return
+	case v.Action == Hold:
+		return
+	case v.Action == Forward && !j.over:
+		w.accept(j, int(v.Target.Identity)-1)
+	case v.Action == Reset:
+		j.over = true
+	}
+	delete(w.held, j)
+}
+
+// accept is what a target does with an opening packet.
+func (w *world) accept(j *job, n int) {
+	s := w.servers[n]
+	if s.dead || j.open || len(s.queue) >= loadQueue {
+		return
+	}
+	j.open, j.target = true, n
+	s.queue = append(s.queue, j)
+	if !w.blind {
+		w.instances[j.instance].Packet(w.now, Packet{Flow: j.flow, Label: Label(n + 1), Size: 100, Ack: 1})
+	}
+}
+
+func (w *world) work() {
+	for _, s := range w.servers {
+		s.slots = slices.DeleteFunc(s.slots, func(o working) bool {
+			if w.now < o.ends {
+				return false
+			}
+			w.finish(o.job)
+			return true
+		})
+		for len(s.queue) > 0 && len(s.slots) < loadSlots {
+			work := time.Duration(float64(loadWork) * s.slow * (0.5 + w.random.Float64()))
+			s.slots = append(s.slots, working{job: s.queue[0], ends: w.now + work})
+			s.queue = s.queue[1:]
+		}
+	}
+}
+
+func (w *world) finish(j *job) {
+	if !j.over && w.now-j.sent <= loadAim {
+		w.inAim[int(j.sent/time.Second)]++
+	}
+	j.over = true
+	if !w.blind {
+		w.instances[j.instance].Packet(w.now, Packet{Flow: j.flow, Label: Label(j.target + 1), Flags: Final, Ack: 2})
+	}
+}
+
+// share returns which part of the requests sent in some seconds was answered in the aim.
+func (w *world) share(from, to int) float64 {
+	good, all := 0, 0
+	for s := from; s < to; s++ {
+		good += w.inAim[s]
+		all += w.asked[s]
+	}
+	return float64(good) / float64(all)
+}
+
+func TestSteadyLoadIsServedInTheAim(t *testing.T) {
+	is := is.New(t)
+	w, blind := newWorld(false), newWorld(true)
+	w.play(10 * time.Second)
+	blind.play(10 * time.Second)
+	t.Logf("in the aim: %.4f, random placement %.4f", w.share(0, 9), blind.share(0, 9))
+	is.True(w.share(0, 9) >= 0.995)
+	is.True(w.share(0, 9) >= blind.share(0, 9))
+}
+
+func TestSlowTargetsGetLess(t *testing.T) {
+	is := is.New(t)
+	w, blind := newWorld(false), newWorld(true)
+	for _, one := range []*world{w, blind} {
+		one.servers[0].slow, one.servers[1].slow = 5, 5
+		one.play(10 * time.Second)
+	}
+	t.Logf("in the aim: %.4f, random placement %.4f", w.share(0, 9), blind.share(0, 9))
+	is.True(w.share(0, 9) >= 0.90)
+	is.True(w.share(0, 9) > blind.share(0, 9))
+}
+
+func TestADeadTargetCostsAFewCallersTheirFirstTry(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(false)
+	w.play(2 * time.Second)
+	w.servers[3].dead = true
+	w.play(10 * time.Second)
+	t.Logf("in the aim: %.4f", w.share(2, 9))
+	is.True(w.share(2, 9) >= 0.97)
+}
+
+// After a second without any instance, with targets that are learnt one by one, callers
+// who gave up must not be placed, and the load must be back to normal two seconds later.
+func TestRecoveryAfterARestartOfEverything(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(false)
+	w.play(2 * time.Second)
+	w.restart()
+	w.play(3 * time.Second)
+	for n := 1; n <= loadTargets; n++ {
+		w.learn(n, n == loadTargets)
+		w.play(w.now + 25*time.Millisecond)
+	}
+	w.play(9 * time.Second)
+	t.Logf("in the aim: second 3 %.3f, 4 %.3f, after %.4f", w.share(3, 4), w.share(4, 5), w.share(5, 8))
+	is.True(w.share(5, 8) >= 0.995)
+}
--- a/steerer/place.go
+++ b/steerer/place.go
@@ -5,7 +5,7 @@
 // state is what this instance has seen of one target.
 type state struct {
 	target      *Target
-	open        int           // flows placed here that have not ended
+	open        int           // flows placed here that it works on
 	lastAnswer  time.Duration // latest time at which a flow asked for was answered
 	silentUntil time.Duration // passed over until then
 }
@@ -33,9 +33,9 @@
 
 // place chooses the target of a new flow: the one with the least flows of this
 // instance for each slot, near ones first. It answers steady load and bursts, where
-// each instance sees a share of the flows and ends of flows come back to it; slow
-// targets keep their flows longer and so get fewer. It returns nil when no target
-// takes new flows.
+// each instance sees a share of the flows and ends of flows come back to it within a
+// request's time; slow targets keep their flows longer and so get fewer. It returns nil
+// when no target takes the flow.
 func (s *Steerer) place(now time.Duration, r *Route) *state {
 	pool := s.view.pools[s.pick(r)]
 	if st := s.least(now, pool, false); st != nil {
@@ -65,14 +65,8 @@
 	var lowest float64
 	equal := 0
 	for _, t := range pool {
-		if !t.Fit {
-			continue
-		}
 		st := s.states[t.Identity]
-		if now < st.silentUntil && !silentToo {
-			continue
-		}
-		if !s.view.Complete && st.open >= learningLimit*max(t.Slots, 1) {
+		if !s.offered(now, st, silentToo) {
 			continue
 		}
 		c := s.cost(now, st)
@@ -89,6 +83,15 @@
 	return best
 }
 
+// offered tells whether a target may get a new flow.
+func (s *Steerer) offered(now time.Duration, st *state, silentToo bool) bool {
+	t := st.target
+	if !t.Fit || (now < st.silentUntil && !silentToo) {
+		return false
+	}
+	return s.view.Complete || st.open < learningLimit*max(t.Slots, 1)
+}
+
 func (s *Steerer) cost(now time.Duration, st *state) float64 {
 	t := st.target
 	c := float64(st.open+1) / float64(max(t.Slots, 1))
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -43,6 +43,9 @@
 	Label Label
 	Copy  uint32 // of an opening packet: how many went before it
 	Ack   uint32 // of any other packet: what the caller has received
+	Size  int    // of the data that it carries, in bytes
+	// Waited is how long the packet, or the first of its copies, has been held.
+	Waited time.Duration
 }
 
 // Action is what happens to a packet.
@@ -53,9 +56,10 @@
 	Drop Action = iota
 	Forward
 	Reset // tell the caller that the flow does not open
+	Hold  // decide again soon, when more is known
 )
 
-var actionNames = [...]string{"drop", "forward", "reset"}
+var actionNames = [...]string{"drop", "forward", "reset", "hold"}
 
 // String returns the name of the action.
 func (a Action) String() string { return actionNames[a] }
@@ -71,6 +75,7 @@
 	CopyMoved      Reason = "copy-moved"      // the first target does not answer
 	NoRoute        Reason = "no-route"        // the address is not in the configuration
 	NoTarget       Reason = "no-target"       // nobody can serve the route
+	HeldTooLong    Reason = "held-too-long"   // nothing was learnt of its targets in time
 	UnknownLabel   Reason = "unknown-label"   // no target has it
 	ForeignLabel   Reason = "foreign-label"   // a target of a pool that the route never had
 	NotInitialized Reason = "not-initialized" // no configuration yet
@@ -78,7 +83,7 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	ByLabel, Placed, CopyKept, CopyMoved, NoRoute, NoTarget, UnknownLabel, ForeignLabel, NotInitialized,
+	ByLabel, Placed, CopyKept, CopyMoved, NoRoute, NoTarget, HeldTooLong, UnknownLabel, ForeignLabel, NotInitialized,
 }
 
 // Verdict is the decision about one packet.
@@ -92,18 +97,30 @@
 // Times of what is remembered of flows.
 const (
 	openingMemory = 5 * time.Second // copies of an opening packet come within it
-	sweepEvery    = time.Second
-	flowMargin    = 500 * time.Millisecond // beyond a route's timeout
-	silentFor     = 2 * time.Second        // how long a target without answers is passed over
+	sweepEvery    = 100 * time.Millisecond
+	idleAfter     = 200 * time.Millisecond // without a packet, once an answer has begun
+	// openWithin is how long a flow that has not opened counts as load. The caller may
+	// have given up, or the target may not take it in.
+	openWithin = 100 * time.Millisecond
+	silentFor  = 2 * time.Second // how long a target without answers is passed over
 )
 
+// waitShare is the part of a route's timeout, as a divisor, that a caller waits here at
+// most. After it the rest would hardly do for the request itself, and the caller may be
+// gone: a flow placed for nobody takes a target's time from others.
+const waitShare = 2
+
 // opened is what is remembered of a flow that this instance placed.
 type opened struct {
 	target   *state
 	route    *Route
 	at       time.Duration
-	deadline time.Duration // it counts as load no longer
-	answered bool          // the caller has got the target's answer
+	busy     bool          // counts as load of its target
+	until    time.Duration // it counts as load no longer than that
+	heard    time.Duration // when its caller last sent a packet
+	ack      uint32        // what its caller has received
+	asked    bool          // the answer to what was last asked has not begun
+	answered bool          // the target has let the flow open
 	ended    bool
 }
 
@@ -188,7 +205,7 @@
 	}
 	target := s.view.byLabel[p.Label]
 	if target == nil {
-		return Verdict{Action: Drop, Reason: UnknownLabel, Route: s.view.routes[p.Flow.Service]}
+		return Verdict{Action: s.unknown(Drop), Reason: UnknownLabel, Route: s.view.routes[p.Flow.Service]}
 	}
 	route := s.view.routes[p.Flow.Service]
 	if route != nil && !s.allowed[poolUse{p.Flow.Service, target.Pool}] {
@@ -198,37 +215,59 @@
 	return Verdict{Action: Forward, Reason: ByLabel, Target: target, Route: route}
 }
 
-// note keeps the picture of a flow that was placed here up to date.
+// note keeps the picture of a flow that was placed here up to date. Answers do not come
+// by here; that one has begun shows in what the caller acknowledges.
 func (s *Steerer) note(now time.Duration, p Packet) {
 	f := s.flows[p.Flow]
 	if f == nil {
 		return
 	}
+	f.heard = now
 	if !f.answered {
 		f.answered = true
+		f.ack = p.Ack
+		f.until = now + f.route.Timeout
+		f.setBusy(true)
 		f.target.answered(now, f.at)
 	}
-	if p.Flags&(Final|Abort) != 0 && !f.ended {
-		f.end()
+	switch {
+	case p.Flags&(Final|Abort) != 0 && !f.ended:
+		f.ended = true
+		f.setBusy(false)
 		s.ended(f.route, now-f.at)
+	case p.Size > 0 && !f.ended:
+		f.asked = true
+		f.ack = p.Ack
+		f.until = now + f.route.Timeout
+		f.setBusy(true)
+	case p.Ack != f.ack:
+		f.asked = false
+		f.ack = p.Ack
 	}
 }
 
-func (f *opened) end() {
-	if !f.ended {
-		f.ended = true
+func (f *opened) setBusy(busy bool) {
+	if busy == f.busy {
+		return
+	}
+	f.busy = busy
+	if busy {
+		f.target.open++
+	} else {
 		f.target.open--
 	}
 }
 
-// sweep forgets flows that have ended or whose callers must have given up.
+// sweep forgets flows that have ended, and no longer counts as load those that pause
+// between requests or whose callers must have given up.
 func (s *Steerer) sweep(now time.Duration) {
 	s.nextSweep = now + sweepEvery
 	for flow, f := range s.flows {
-		if now >= f.deadline {
-			f.end()
+		pauses := f.answered && !f.asked && now-f.heard >= idleAfter
+		if pauses || now >= f.until {
+			f.setBusy(false)
 		}
-		if f.ended && now-f.at >= openingMemory {
+		if !f.busy && now-f.heard >= openingMemory {
 			delete(s.flows, flow)
 		}
 	}
@@ -239,11 +278,11 @@
 // label, unless the first cannot have answered.
 func (s *Steerer) open(now time.Duration, p Packet) Verdict {
 	if s.view.Version == 0 {
-		return Verdict{Action: Drop, Reason: NotInitialized}
+		return Verdict{Action: Hold, Reason: NotInitialized}
 	}
 	route := s.view.routes[p.Flow.Service]
 	if route == nil {
-		return Verdict{Action: s.refusal(), Reason: NoRoute}
+		return Verdict{Action: s.unknown(Reset), Reason: NoRoute}
 	}
 	before := s.flows[p.Flow]
 	if before != nil && now-before.at < openingMemory && !s.silent(now, before) {
@@ -255,26 +294,31 @@
 		before.target.silentUntil = now + silentFor
 	}
 	if before != nil {
-		before.end()
+		before.setBusy(false)
+		delete(s.flows, p.Flow)
+	}
+	if p.Waited > route.Timeout/waitShare {
+		return Verdict{Action: Reset, Reason: HeldTooLong, Route: route}
 	}
 	st := s.place(now, route)
 	if st == nil {
-		delete(s.flows, p.Flow)
-		return Verdict{Action: s.refusal(), Reason: NoTarget, Route: route}
+		return Verdict{Action: s.unknown(Reset), Reason: NoTarget, Route: route}
 	}
-	st.open++
-	s.flows[p.Flow] = &opened{target: st, route: route, at: now, deadline: now + route.Timeout + flowMargin}
+	f := &opened{target: st, route: route, at: now, heard: now, asked: true, until: now + openWithin}
+	f.setBusy(true)
+	s.flows[p.Flow] = f
 	return Verdict{Action: Forward, Reason: reason, Target: st.target, Route: route}
 }
 
-// refusal is what becomes of an opening packet that cannot be placed. A reset ends the
-// caller's attempt, so it is sent only when this instance knows all there is to know;
-// while it is still learning after a start, the next copy may well be placed.
-func (s *Steerer) refusal() Action {
+// unknown is what becomes of a packet that the view has no place for. Once the view is
+// complete that is final. While this instance is still learning after a start the
+// packet waits: a reset would end the caller's attempt, and a drop cost it the time
+// until its next copy.
+func (s *Steerer) unknown(final Action) Action {
 	if s.view.Complete {
-		return Reset
+		return final
 	}
-	return Drop
+	return Hold
 }
 
 // silent tells whether the target of a flow that is asked for again cannot be the
@@ -293,10 +337,3 @@
 // copyInterval is the time after which callers repeat an opening packet, less the
 // jitter of the path.
 const copyInterval = 150 * time.Millisecond
-
-// Load returns how many flows placed here are open at each target, by identity.
-func (s *Steerer) Load(f func(t *Target, open int)) {
-	for _, st := range s.states {
-		f(st.target, st.open)
-	}
-}
--- a/steerer/view.go
+++ b/steerer/view.go
@@ -44,7 +44,7 @@
 	Version    uint64 // of the configuration
 	DataCentre string // of this instance
 	// Complete says that nothing is missing: an address without a route has none, and
-	// a pool without targets is empty. Before, callers are left to ask again.
+	// a pool without targets is empty. Before, packets wait.
 	Complete bool
 	routes   map[netip.AddrPort]*Route
 	pools    map[string][]*Target
