--- a/cmd/almondpick/node.go
+++ b/cmd/almondpick/node.go
@@ -61,7 +61,7 @@
 	if at, err := netip.ParseAddrPort(set.FlowAddress); err == nil {
 		codec.CallerPort = at.Port()
 	}
-	api := func(c *controller.Controller) http.Handler { return platform.NewAPI(c, log) }
+	api := func(c *controller.Controller) http.Handler { return platform.NewAPI(c, systemClock{}, log) }
 	n, err := server.StartNode(set, systemClock{}, log, codec, api, platform.ReadyHandler)
 	if err != nil {
 		log.Error("start-failed", "error", err)
--- a/configurer/node.go
+++ b/configurer/node.go
@@ -29,12 +29,28 @@
 // Validate checks every setting and returns a *Faults with all that are wrong.
 func (n Node) Validate() error {
 	var f Faults
-	if !namePattern.MatchString(n.Name) {
-		f.add("name", n.Name, nameRule)
+	for _, one := range []struct{ setting, value string }{{"name", n.Name}, {"data-centre", n.DataCentre}} {
+		if !namePattern.MatchString(one.value) {
+			f.add(one.setting, one.value, nameRule)
+		}
+	}
+	n.validateAddresses(&f)
+	if n.FirstStart && n.DataFolder != "" && len(n.Seeds) == 0 {
+		f.add("seeds", "none", "at least one address with -first-start")
+	}
+	if n.LostInstances < 0 || n.LostInstances > 3 {
+		f.add("lost-instances", strconv.Itoa(n.LostInstances), "0 to 3")
 	}
-	if !namePattern.MatchString(n.DataCentre) {
-		f.add("data-centre", n.DataCentre, nameRule)
+	if n.AnnounceInterval <= 0 {
+		f.add("announce-interval", n.AnnounceInterval.String(), "more than 0s")
 	}
+	if n.StopGrace < time.Second {
+		f.add("stop-grace", n.StopGrace.String(), "1s or more")
+	}
+	return f.orNil()
+}
+
+func (n Node) validateAddresses(f *Faults) {
 	optional := []struct{ setting, value string }{
 		{"flow-address", n.FlowAddress},
 		{"ready-address", n.ReadyAddress},
@@ -54,17 +70,4 @@
 			f.add("seeds", s, "IP:port")
 		}
 	}
-	if n.FirstStart && n.DataFolder != "" && len(n.Seeds) == 0 {
-		f.add("seeds", "none", "at least one address with -first-start")
-	}
-	if n.LostInstances < 0 || n.LostInstances > 3 {
-		f.add("lost-instances", strconv.Itoa(n.LostInstances), "0 to 3")
-	}
-	if n.AnnounceInterval <= 0 {
-		f.add("announce-interval", n.AnnounceInterval.String(), "more than 0s")
-	}
-	if n.StopGrace < time.Second {
-		f.add("stop-grace", n.StopGrace.String(), "1s or more")
-	}
-	return f.orNil()
 }
--- a/controller/electorate_test.go
+++ b/controller/electorate_test.go
@@ -16,7 +16,6 @@
 	size    int
 	present voter.Membership
 	live    map[voter.ID]string // to its data centre
-	removed []string
 }
 
 func (d *disks) electorate() electorate {
