gossiper, controller: catch up from a store, and news to all at once

Cause: on the grown deployment an instance that started while 40 others restarted got a target's first record, and was not known to others yet when the rumour that the target leaves went round. The controller now logs every change of belief about targets and members; that showed all others at 0.5 to 0.8 s.

Ruled out: order of records, homes, slow instances.

Change: records are compared at least every 1.5 s whatever rumours do; after a start, a standstill or a second of silence an instance reads all records from the nearest store, and is ready only then; what begins at an instance goes to up to 128 members at once. Commands are compressed once, by the proposer. The three gossip tests fail or do not compile before.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -176,6 +176,7 @@
 	home      map[netip.AddrPort]local
 	forgotten []string
 	revision  uint64
+	changed   func(t Target)
 }
 
 // local is what the home of a target keeps of it.
@@ -185,13 +186,26 @@
 	sequence  uint64 // of the announcement that was last spread
 }
 
+// Option sets a property of a Registry.
+type Option func(*Registry)
+
+// WithChanges has f called with every change of what is believed of a target.
+func WithChanges(f func(t Target)) Option {
+	return func(r *Registry) { r.changed = f }
+}
+
 // NewRegistry returns an empty registry of the instance self.
-func NewRegistry(self string) *Registry {
-	return &Registry{
+func NewRegistry(self string, opts ...Option) *Registry {
+	r := &Registry{
 		self:    self,
 		targets: make(map[netip.AddrPort]*Target),
 		home:    make(map[netip.AddrPort]local),
+		changed: func(Target) {},
+	}
+	for _, o := range opts {
+		o(r)
 	}
+	return r
 }
 
 // Revision rises whenever a target changes in a way that decisions rest on.
@@ -333,6 +347,7 @@
 	}
 	r.targets[a.Endpoint] = t
 	r.revision++
+	r.changed(*t)
 }
 
 // Tick declares targets lost that have stopped announcing themselves here, and
@@ -356,6 +371,7 @@
 			t.Lost = true
 			t.Since = now
 			r.revision++
+			r.changed(*t)
 		}
 		if t.Lost && now-t.Since >= ForgetAfter {
 			delete(r.targets, endpoint)
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -196,10 +196,10 @@
 	if after >= reply.Index {
 		return nil
 	}
-	if len(c.commands) > 0 && c.commands[0].Index <= after+1 {
-		for _, a := range c.commands {
-			if a.Index > after && a.Command != (planner.Command{}) {
-				reply.Commands = append(reply.Commands, a)
+	if len(c.commands) > 0 && c.commands[0].applied.Index <= after+1 {
+		for _, k := range c.commands {
+			if k.applied.Index > after && k.applied.Data != nil {
+				reply.Commands = append(reply.Commands, k.applied)
 			}
 		}
 		return nil
--- a/controller/chores.go
+++ b/controller/chores.go
@@ -27,7 +27,9 @@
 	c.reopen(now)
 	c.fetchNewer()
 	c.noteFences(now)
+	c.noteMembers(now)
 	if c.set.Electorate > 0 {
+		c.catchUp(now)
 		c.noteConfirmed(now)
 		c.keepElectorate(now)
 		return
@@ -103,7 +105,7 @@
 				c.commands = nil
 			}
 			for _, a := range reply.Commands {
-				c.applyCommand(a.Index, a.Command)
+				c.applyCommand(a)
 			}
 			c.machine.Skip(reply.Index)
 		})
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -12,8 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"almondpick/announcer"
 	"almondpick/gossiper"
 	"almondpick/journaler"
@@ -36,6 +34,7 @@
 	Fetch(ctx context.Context, to string, after uint64) (*messenger.FetchReply, error)
 	Propose(ctx context.Context, to string, c planner.Command) (*planner.Answer, error)
 	Read(ctx context.Context, to string) (*messenger.ReadReply, error)
+	Records(ctx context.Context, to string) (*messenger.RecordsReply, error)
 }
 
 // Settings say who the instance is and where it starts from.
@@ -106,14 +105,18 @@
 	reads    map[uint64]chan messenger.ReadReply // by the voter's number
 	applied  []appliedWaiter
 	leader   voter.ID // that was last logged
-	reading  bool     // a read that confirms the configuration is under way
-	commands []messenger.Applied
+	synced   bool     // holds what a store knew after the start or the last isolation
+	syncing  bool
+	ticked   time.Duration
+	reading  bool // a read that confirms the configuration is under way
+	commands []keptCommand
 	fetching bool
 	ready    bool
 	confirm  bool
 	leaving  bool
 	cutSince time.Time
 	fitSince map[string]fitState
+	ranks    map[string]memberRank // of members, as they were last logged
 	nextSlow time.Duration
 	seen     revisions
 
@@ -124,6 +127,13 @@
 	ctx    context.Context
 }
 
+// keptCommand is a command that instances which catch up may ask for. Its data is nil
+// once nobody needs it.
+type keptCommand struct {
+	applied messenger.Applied
+	ruleset uint64 // version of the ruleset that it brings, or 0
+}
+
 type waiter struct {
 	term   uint64
 	answer chan planner.Answer
@@ -159,17 +169,18 @@
 		keys:      keys,
 		log:       slog.New(slog.DiscardHandler),
 		onWorld:   func(World) {},
-		registry:  announcer.NewRegistry(set.Self.Name),
 		machine:   planner.NewMachine(),
 		waiters:   make(map[uint64]waiter),
 		reads:     make(map[uint64]chan messenger.ReadReply),
 		fitSince:  make(map[string]fitState),
+		ranks:     make(map[string]memberRank),
 		calls:     make(chan func(), queuedCalls),
 		done:      make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(c)
 	}
+	c.registry = announcer.NewRegistry(set.Self.Name, announcer.WithChanges(c.noteTarget))
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	incarnation := uint64(c.start.UnixMilli())
 	c.gossip = gossiper.New(set.Self, incarnation, gossiper.WithSeeds(set.Seeds...),
@@ -260,6 +271,7 @@
 
 func (c *Controller) tick() {
 	now := c.now()
+	c.noteIsolation(now)
 	c.send(c.gossip.Tick(now))
 	c.learnTargets(now)
 	c.registry.Tick(now, c.homeReachable(), c.gossip)
@@ -375,7 +387,7 @@
 }
 
 func encode(cmd planner.Command) []byte {
-	b, err := cbor.Marshal(cmd)
+	b, err := messenger.EncodeCommand(cmd)
 	if err != nil {
 		panic(err) // a struct of plain fields always encodes
 	}
--- a/controller/log.go
+++ b/controller/log.go
@@ -120,13 +120,7 @@
 func (c *Controller) apply(e voter.Entry) {
 	answer := planner.Answer{}
 	if e.Kind == voter.EntryCommand {
-		var cmd planner.Command
-		if err := messenger.Decode(e.Data, &cmd); err != nil {
-			c.log.Error("command-unreadable", "index", e.Index, "error", err)
-			c.machine.Skip(e.Index)
-		} else {
-			answer = c.applyCommand(e.Index, cmd)
-		}
+		answer = c.applyCommand(messenger.Applied{Index: e.Index, Data: e.Data})
 	} else {
 		c.machine.Skip(e.Index)
 	}
@@ -141,23 +135,39 @@
 	w.answer <- answer
 }
 
-func (c *Controller) applyCommand(index uint64, cmd planner.Command) planner.Answer {
-	if index <= c.machine.Index() {
+// applyCommand applies a command that comes next, and keeps it for instances that catch
+// up. Commands that were applied before change nothing.
+func (c *Controller) applyCommand(a messenger.Applied) planner.Answer {
+	if a.Index <= c.machine.Index() {
+		return planner.Answer{}
+	}
+	cmd, err := messenger.DecodeCommand(a.Data)
+	if err != nil {
+		c.log.Error("command-unreadable", "index", a.Index, "error", err)
+		c.machine.Skip(a.Index)
 		return planner.Answer{}
 	}
 	before := c.machine.Config().Version
-	answer := c.machine.Apply(index, cmd)
-	c.commands = append(c.commands, messenger.Applied{Index: index, Command: cmd})
+	answer := c.machine.Apply(a.Index, cmd)
+	c.keep(a, cmd)
+	if v := c.machine.Config().Version; v != before {
+		c.log.Info("configuration-in-force", "version", v, "ruleset", rulesetVersion(c.machine.Config()))
+	}
+	return answer
+}
+
+func (c *Controller) keep(a messenger.Applied, cmd planner.Command) {
+	k := keptCommand{applied: a}
+	if cmd.Replace != nil {
+		k.ruleset = cmd.Replace.Version
+	}
+	c.commands = append(c.commands, k)
 	if cmd.Replace != nil {
 		dropOvertaken(c.commands, rulesetVersion(c.machine.Config()))
 	}
 	if len(c.commands) > 2*keptCommands {
 		c.commands = slices.Clone(c.commands[len(c.commands)-keptCommands:])
 	}
-	if v := c.machine.Config().Version; v != before {
-		c.log.Info("configuration-in-force", "version", v, "ruleset", rulesetVersion(c.machine.Config()))
-	}
-	return answer
 }
 
 func (c *Controller) failWaiters() {
--- /dev/null
+++ b/controller/notes.go
@@ -0,0 +1,37 @@
+package controller
+
+import (
+	"time"
+
+	"almondpick/announcer"
+	"almondpick/gossiper"
+)
+
+// memberRank is what was last logged of a member.
+type memberRank struct {
+	rank        gossiper.Rank
+	incarnation uint64
+}
+
+var rankNames = map[gossiper.Rank]string{
+	gossiper.RankOwn: "alive", gossiper.RankSuspect: "suspect", gossiper.RankDead: "dead",
+}
+
+// noteTarget logs what is now believed of a target, and by whose word.
+func (c *Controller) noteTarget(t announcer.Target) {
+	c.log.Info("target", "endpoint", t.Endpoint, "identity", t.Identity, "pool", t.Job, "state", t.State.String(),
+		"lost", t.Lost, "home", t.Home, "incarnation", t.Incarnation, "sequence", t.Sequence)
+}
+
+// noteMembers logs the members that have come, come back or gone.
+func (c *Controller) noteMembers(now time.Duration) {
+	for _, m := range c.gossip.Members() {
+		seen := memberRank{rank: m.Rank, incarnation: m.Incarnation}
+		if c.ranks[m.Name] == seen {
+			continue
+		}
+		c.ranks[m.Name] = seen
+		c.log.Info("member", "instance", m.Name, "rank", rankNames[m.Rank], "incarnation", m.Incarnation,
+			"voter", m.VoterID, "contact-age", now-m.LastContact)
+	}
+}
--- a/controller/read.go
+++ b/controller/read.go
@@ -156,7 +156,7 @@
 		return
 	}
 	holds := c.machine.Config().Rules != nil && c.machine.Config().Version >= c.highestVersion()
-	if c.confirm && holds && (c.gossip.Synced() || now >= readyAnyway) {
+	if c.confirm && holds && (c.synced || now >= readyAnyway) {
 		c.becomeReady()
 		return
 	}
@@ -172,7 +172,7 @@
 	}
 	c.ready = true
 	c.log.Info("ready", "version", c.machine.Config().Version, "ruleset", rulesetVersion(c.machine.Config()),
-		"confirmed", c.confirm, "synced", c.gossip.Synced())
+		"confirmed", c.confirm, "synced", c.synced)
 }
 
 // confirmVersion asks the leader how far the log is, and notes when this instance
@@ -209,10 +209,10 @@
 // dropOvertaken forgets the rulesets other than the one in force, so that an instance
 // that catches up gets that one only. The command that came last need not be it: an
 // older version may arrive after a newer one.
-func dropOvertaken(commands []messenger.Applied, inForce uint64) {
-	for i, a := range commands {
-		if a.Command.Replace != nil && a.Command.Replace.Version != inForce {
-			commands[i].Command.Replace = nil
+func dropOvertaken(commands []keptCommand, inForce uint64) {
+	for i, k := range commands {
+		if k.ruleset != 0 && k.ruleset != inForce {
+			commands[i].applied.Data = nil
 		}
 	}
 }
--- a/controller/read_test.go
+++ b/controller/read_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/matryer/is"
@@ -15,19 +16,23 @@
 	for _, order := range [][]uint64{{4, 46, 48}, {4, 48, 46}, {48, 4, 46}} {
 		is := is.New(t)
 		sender := planner.NewMachine()
-		var kept []messenger.Applied
+		var kept []keptCommand
 		for i, version := range order {
-			a := messenger.Applied{Index: uint64(i + 1), Command: planner.Command{Replace: &planner.Ruleset{Version: version}}}
-			sender.Apply(a.Index, a.Command)
-			kept = append(kept, a)
+			cmd := planner.Command{Replace: &planner.Ruleset{Version: version}}
+			sender.Apply(uint64(i+1), cmd)
+			kept = append(kept, keptCommand{applied: messenger.Applied{Index: uint64(i + 1), Data: encode(cmd)}, ruleset: version})
 			dropOvertaken(kept, rulesetVersion(sender.Config()))
 		}
 		behind := planner.NewMachine()
 		behind.Apply(1, planner.Command{Replace: &planner.Ruleset{Version: order[0]}})
-		for _, a := range kept {
-			if a.Command != (planner.Command{}) {
-				behind.Apply(a.Index, a.Command)
+		for _, k := range kept {
+			if k.applied.Data == nil {
+				continue
 			}
+			cmd, err := messenger.DecodeCommand(k.applied.Data)
+			var refusal *planner.Refusal
+			is.True(err == nil || errors.As(err, &refusal)) // the rulesets are empty
+			behind.Apply(k.applied.Index, cmd)
 		}
 		is.Equal(rulesetVersion(behind.Config()), uint64(48))
 	}
--- /dev/null
+++ b/controller/sync.go
@@ -0,0 +1,64 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"almondpick/messenger"
+)
+
+// isolatedAfter is how long an instance hears nothing, or stands still, before it has to
+// catch up: rumours that went round meanwhile do not come again.
+const isolatedAfter = time.Second
+
+// noteIsolation notices that this instance stood still or heard nobody for a while.
+func (c *Controller) noteIsolation(now time.Duration) {
+	stood := now - c.ticked
+	c.ticked = now
+	silent := now - c.gossip.LastContact()
+	if c.synced && (stood >= isolatedAfter || silent >= isolatedAfter) {
+		c.synced = false
+		c.log.Warn("isolated", "stood-still", stood, "silence", silent)
+	}
+}
+
+// catchUp reads all records from the nearest store, once it is in reach after a start or
+// an isolation.
+func (c *Controller) catchUp(now time.Duration) {
+	if c.synced || c.syncing || now-c.gossip.LastContact() >= isolatedAfter {
+		return
+	}
+	from, ok := c.nearestStore()
+	if !ok {
+		return
+	}
+	c.syncing = true
+	c.closed.Add(1)
+	go func() {
+		defer c.closed.Done()
+		ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
+		defer cancel()
+		reply, err := c.transport.Records(ctx, from)
+		c.do(c.ctx, func() {
+			c.syncing = false
+			if err != nil {
+				c.log.Warn("catch-up-failed", "from", from, "error", err)
+				return
+			}
+			c.gossip.TakeAll(c.now(), reply.Records)
+			c.learnTargets(c.now())
+			c.synced = true
+			c.log.Info("caught-up", "from", from, "records", len(reply.Records))
+		})
+	}()
+}
+
+// Records returns all that this instance knows of instances and targets. It returns a
+// *ClosedError.
+func (c *Controller) Records(ctx context.Context) (*messenger.RecordsReply, error) {
+	reply := &messenger.RecordsReply{}
+	if !c.do(ctx, func() { reply.Records = c.gossip.All() }) {
+		return nil, &ClosedError{}
+	}
+	return reply, nil
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -29,13 +29,14 @@
 	maxDatagram     = 1200 // bytes of records in one message
 	rumorFanout     = 2
 	indirectProbes  = 2
-	syncEvery       = 2 * time.Second
+	syncEvery       = time.Second // at most, while records differ
 	maxSyncMessages = 4
+	rumorGrace      = 500 * time.Millisecond // that rumours get to settle a difference
 	reportEvery     = 30 * time.Second
 	reportAgain     = 2 * time.Second
 	reportTimes     = 2
 	seedPeriod      = 100 * time.Millisecond // between probes of seeds while nobody is known
-	everybody       = 16                     // members that news of this instance's own goes to at once
+	everybody       = 128                    // members that news of this instance's own goes to at once
 	versionFanout   = 3                      // instances that are told of a new version at random
 )
 
@@ -86,7 +87,6 @@
 	nextSync    time.Duration
 	probeNumber uint64
 	revision    uint64
-	synced      bool
 	urgent      []string // keys of records announced here since the last tick
 	news        []Record
 	out         []Envelope
@@ -140,10 +140,36 @@
 	return g.revision
 }
 
-// Synced tells whether this instance has held the same records as another one at
-// some time since it started.
-func (g *Gossiper) Synced() bool {
-	return g.synced
+// All returns every record that is held, for an instance that catches up.
+func (g *Gossiper) All() []Record {
+	out := make([]Record, 0, len(g.store.records))
+	for _, r := range g.store.records {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+// TakeAll takes in records that another instance held. They are not passed on: the
+// others have them.
+func (g *Gossiper) TakeAll(now time.Duration, records []Record) {
+	before := slices.Clone(g.store.rumors)
+	for _, r := range records {
+		g.accept(now, r)
+	}
+	own := InstancePrefix + g.self.Name
+	g.store.rumors = slices.DeleteFunc(g.store.rumors, func(r rumor) bool {
+		return r.key != own && !slices.ContainsFunc(before, func(b rumor) bool { return b.key == r.key })
+	})
+}
+
+// LastContact returns when a message of any member last arrived.
+func (g *Gossiper) LastContact() time.Duration {
+	var last time.Duration
+	for _, m := range g.members {
+		last = max(last, m.LastContact)
+	}
+	return last
 }
 
 // Self returns the record body that this instance spreads of itself.
@@ -401,17 +427,15 @@
 	return g.flush()
 }
 
-// compare asks for the records that differ when the sender's digest is another
-// one while no rumours are under way that would explain it.
+// compare asks for the records that differ when the sender's digest is another one.
+// Rumours that are under way may explain it, so a known sender is asked only now and
+// then; it is asked even so, because rumours may never end.
 func (g *Gossiper) compare(now time.Duration, from string, m Message) {
-	if m.Digest == g.store.digest {
-		g.synced = true
-	}
 	if m.Digest == g.store.digest || m.Kind == KindBuckets || now < g.nextSync {
 		return
 	}
 	_, known := g.members[m.From]
-	if known && len(g.store.rumors) > 0 {
+	if known && len(g.store.rumors) > 0 && now < g.nextSync+rumorGrace {
 		return
 	}
 	g.nextSync = now + syncEvery
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -178,3 +178,75 @@
 		}
 	})
 }
+
+// An instance that catches up takes everything in and passes nothing on.
+func TestTakeAllIsNoNewsToOthers(t *testing.T) {
+	is := is.New(t)
+	full := New(Instance{Name: "a", Peer: "127.0.0.1:1", RPC: "127.0.0.1:1"}, 1)
+	for n := range 50 {
+		full.Publish(Record{Key: fmt.Sprintf("%s%d", TargetPrefix, n), Incarnation: 1, Sequence: 1, Body: cbor.RawMessage{0xf6}})
+	}
+	late := New(Instance{Name: "b", Peer: "127.0.0.1:2", RPC: "127.0.0.1:2"}, 1)
+	late.TakeAll(0, full.All())
+	is.Equal(len(late.News()), 50)
+	_, ok := late.Member("a")
+	is.True(ok)
+	for _, e := range late.Tick(time.Second) {
+		for _, r := range e.Message.Records {
+			is.True(r.Key == InstancePrefix+"b" || r.Key == InstancePrefix+"a")
+		}
+	}
+}
+
+// What begins at an instance reaches every live member with its next tick.
+func TestAnnouncedRecordsGoToAllAtOnce(t *testing.T) {
+	is := is.New(t)
+	g := New(Instance{Name: "a", Peer: "127.0.0.1:1", RPC: "127.0.0.1:1"}, 1)
+	for n := range 100 {
+		peer := fmt.Sprintf("127.0.0.1:%d", 1000+n)
+		m := New(Instance{Name: fmt.Sprintf("m%d", n), Peer: peer, RPC: peer}, 1)
+		g.TakeAll(0, m.All())
+	}
+	g.Tick(time.Second)
+	g.Announce(Record{Key: TargetPrefix + "x", Incarnation: 1, Sequence: 2, Body: cbor.RawMessage{0xf6}})
+	got := make(map[string]bool)
+	for _, e := range g.Tick(time.Second + time.Millisecond) {
+		for _, r := range e.Message.Records {
+			if r.Key == TargetPrefix+"x" {
+				got[e.To] = true
+			}
+		}
+	}
+	is.Equal(len(got), 100)
+}
+
+// Rumours that never end do not keep an instance from what it has missed.
+func TestMissedRecordsAreFoundWhileRumoursGoOn(t *testing.T) {
+	is := is.New(t)
+	a := New(Instance{Name: "a", Peer: "127.0.0.1:1", RPC: "127.0.0.1:1"}, 1)
+	b := New(Instance{Name: "b", Peer: "127.0.0.1:2", RPC: "127.0.0.1:2"}, 1)
+	a.TakeAll(0, b.All())
+	b.TakeAll(0, a.All())
+	a.Publish(Record{Key: TargetPrefix + "missed", Incarnation: 1, Sequence: 1, Body: cbor.RawMessage{0xf6}})
+	a.store.rumors = nil // every message that carried it was lost
+	found := false
+	for n := 1; n < 40 && !found; n++ {
+		now := time.Duration(n) * 100 * time.Millisecond
+		b.Publish(Record{Key: fmt.Sprintf("%sbusy%d", TargetPrefix, n), Incarnation: 1, Sequence: 1, Body: cbor.RawMessage{0xf6}})
+		toB := a.Tick(now)
+		toA := b.Tick(now)
+		for range 4 {
+			var next []Envelope
+			for _, e := range toB {
+				next = append(next, b.Handle(now, "127.0.0.1:1", e.Message)...)
+			}
+			toB = nil
+			for _, e := range append(toA, next...) {
+				toB = append(toB, a.Handle(now, "127.0.0.1:2", e.Message)...)
+			}
+			toA = nil
+		}
+		_, found = b.store.records[TargetPrefix+"missed"]
+	}
+	is.True(found)
+}
--- a/gossiper/store.go
+++ b/gossiper/store.go
@@ -7,7 +7,7 @@
 	"almondpick/ranker"
 )
 
-const bucketCount = 32
+const bucketCount = 96
 
 // rumor is a record that is still being passed on.
 type rumor struct {
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"almondpick/gossiper"
 	"almondpick/planner"
 	"almondpick/voter"
 )
@@ -13,10 +14,10 @@
 	After uint64 `cbor:"after"`
 }
 
-// Applied is a command at its position of the log.
+// Applied is a command at its position of the log, in the log's own form.
 type Applied struct {
-	Index   uint64          `cbor:"index"`
-	Command planner.Command `cbor:"command"`
+	Index uint64 `cbor:"index"`
+	Data  []byte `cbor:"data"`
 }
 
 // FetchReply holds either the commands after the position or a snapshot, and how
@@ -34,6 +35,21 @@
 	Version uint64 `cbor:"version"`
 }
 
+// RecordsReply holds all that the sender knows of instances and targets.
+type RecordsReply struct {
+	Records []gossiper.Record `cbor:"records"`
+}
+
+// Validate checks every record.
+func (r RecordsReply) Validate() error {
+	for _, one := range r.Records {
+		if err := one.Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // VoterBatch carries messages between voters.
 type VoterBatch struct {
 	Messages []voter.Message `cbor:"messages"`
--- /dev/null
+++ b/messenger/command.go
@@ -0,0 +1,92 @@
+package messenger
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"almondpick/planner"
+)
+
+// Commands travel and are stored in the form that they have in the log. Large ones are
+// compressed, once, by the instance that proposes them.
+const (
+	// compressedMark begins a compressed command. A plain one begins with a CBOR map.
+	compressedMark = 0x01
+	compressFrom   = 1 << 10  // bytes
+	maxCommand     = 32 << 20 // bytes, decompressed
+)
+
+// CommandSizeError reports a command that is larger than any may be.
+type CommandSizeError struct {
+	Limit int // bytes
+}
+
+// Error implements error.
+func (e *CommandSizeError) Error() string {
+	return "a command is larger than it may be"
+}
+
+// EncodeCommand returns the form of a command in the log.
+func EncodeCommand(c planner.Command) ([]byte, error) {
+	plain, err := cbor.Marshal(c)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode command")
+	}
+	if len(plain) < compressFrom {
+		return plain, nil
+	}
+	var b bytes.Buffer
+	b.WriteByte(compressedMark)
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, eris.Wrap(err, "compress command")
+	}
+	if _, err := w.Write(plain); err != nil {
+		return nil, eris.Wrap(err, "compress command")
+	}
+	if err := w.Close(); err != nil {
+		return nil, eris.Wrap(err, "compress command")
+	}
+	return b.Bytes(), nil
+}
+
+// DecodeCommand reads a command in the form of the log. It returns a decoding error, a
+// *CommandSizeError or what the command's own check finds.
+func DecodeCommand(data []byte) (planner.Command, error) {
+	var c planner.Command
+	if len(data) > 0 && data[0] == compressedMark {
+		plain, err := decompress(data[1:])
+		if err != nil {
+			return c, err
+		}
+		data = plain
+	}
+	err := Decode(data, &c)
+	return c, err
+}
+
+// decompressors are kept, because each has a window of 32 KiB.
+var decompressors = sync.Pool{New: func() any { return flate.NewReader(bytes.NewReader(nil)) }}
+
+func decompress(data []byte) ([]byte, error) {
+	r := decompressors.Get().(io.Reader)
+	defer decompressors.Put(r)
+	if err := r.(flate.Resetter).Reset(bytes.NewReader(data), nil); err != nil {
+		return nil, eris.Wrap(err, "decompress command")
+	}
+	const usualRatio = 10
+	b := bytes.NewBuffer(make([]byte, 0, usualRatio*len(data)))
+	n, err := b.ReadFrom(io.LimitReader(r, maxCommand+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "decompress command")
+	}
+	if n > maxCommand {
+		return nil, &CommandSizeError{Limit: maxCommand}
+	}
+	return b.Bytes(), nil
+}
--- a/messenger/service.go
+++ b/messenger/service.go
@@ -21,6 +21,7 @@
 	Propose(ctx context.Context, c *planner.Command) (*planner.Answer, error)
 	TakeTickets(ctx context.Context, h *TicketHandover) (*Empty, error)
 	Read(ctx context.Context, r *Empty) (*ReadReply, error)
+	Records(ctx context.Context, r *Empty) (*RecordsReply, error)
 }
 
 // OperatorServer answers operators.
@@ -64,6 +65,7 @@
 			unary(PeerService, "Propose", PeerServer.Propose),
 			unary(PeerService, "TakeTickets", PeerServer.TakeTickets),
 			unary(PeerService, "Read", PeerServer.Read),
+			unary(PeerService, "Records", PeerServer.Records),
 		},
 	}, s)
 }
@@ -125,6 +127,11 @@
 	return invoke[Empty, ReadReply](ctx, c.Conn, PeerService, "Read", &Empty{})
 }
 
+// Records reads all that an instance knows of instances and targets.
+func (c PeerClient) Records(ctx context.Context) (*RecordsReply, error) {
+	return invoke[Empty, RecordsReply](ctx, c.Conn, PeerService, "Records", &Empty{})
+}
+
 // OperatorClient calls an instance on behalf of an operator.
 type OperatorClient struct {
 	Conn grpc.ClientConnInterface
--- a/server/peer.go
+++ b/server/peer.go
@@ -54,6 +54,11 @@
 	return p.control.Read(ctx)
 }
 
+// Records tells another instance all that is known of instances and targets.
+func (p *peerService) Records(ctx context.Context, _ *messenger.Empty) (*messenger.RecordsReply, error) {
+	return p.control.Records(ctx)
+}
+
 // TakeTickets takes over a part of a ticket table.
 func (p *peerService) TakeTickets(_ context.Context, h *messenger.TicketHandover) (*messenger.Empty, error) {
 	if p.door == nil {
--- a/server/transport.go
+++ b/server/transport.go
@@ -163,6 +163,16 @@
 	return a, t.judge(to, err)
 }
 
+// Records implements controller.Transport.
+func (t *transport) Records(ctx context.Context, to string) (*messenger.RecordsReply, error) {
+	client, err := t.client(to)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Records(ctx)
+	return reply, t.judge(to, err)
+}
+
 // judge gives up a connection on which a call ran into its timeout. The connection
 // may have gone silent, which nothing else shows for a long time; the next call opens
 // a new one.
