--- a/cmd/almondpick/node.go
+++ b/cmd/almondpick/node.go
@@ -19,6 +19,7 @@
 	"almondpick/configurer"
 	"almondpick/controller"
 	"almondpick/platform"
+	"almondpick/recorder"
 	"almondpick/server"
 )
 
@@ -54,7 +55,9 @@
 
 // Execute implements subcommands.Command.
 func (c *nodeCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	log := newLogger(os.Stdout, c.logLevel, nil)
+	lines := recorder.New(os.Stdout, systemClock{})
+	defer lines.Close()
+	log := newLogger(lines, c.logLevel, nil)
 	set, err := c.settings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/recorder/recorder.go
@@ -0,0 +1,137 @@
+// Package recorder writes log lines without ever making the writer wait: lines are
+// kept in a bounded buffer and written by a goroutine of its own. What does not fit, or
+// is beyond the rate, is dropped and counted.
+package recorder
+
+import (
+	"io"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Limits; see the options.
+const (
+	DefaultBuffer = 256 << 10 // bytes
+	DefaultRate   = 512 << 10 // bytes a second
+	flushEvery    = 50 * time.Millisecond
+)
+
+// Clock gives the time and tickers.
+type Clock interface {
+	Now() time.Time
+	Ticker(d time.Duration) (<-chan time.Time, func())
+}
+
+// Recorder is an io.Writer for whole log lines.
+type Recorder struct {
+	out    io.Writer
+	clock  Clock
+	buffer int
+	rate   int
+
+	mu      sync.Mutex
+	pending []byte
+	spare   []byte
+	tokens  float64 // bytes that may be taken in
+	refill  time.Time
+	dropped uint64 // lines since the last report
+	total   uint64
+
+	done   chan struct{}
+	closed sync.WaitGroup
+}
+
+// Option sets a property of a Recorder.
+type Option func(*Recorder)
+
+// WithLimits sets the size of the buffer and the rate, in bytes and bytes a second.
+func WithLimits(buffer, rate int) Option {
+	return func(r *Recorder) {
+		r.buffer = buffer
+		r.rate = rate
+	}
+}
+
+// New returns a Recorder that writes to out until it is closed.
+func New(out io.Writer, clock Clock, opts ...Option) *Recorder {
+	r := &Recorder{out: out, clock: clock, buffer: DefaultBuffer, rate: DefaultRate, done: make(chan struct{})}
+	for _, o := range opts {
+		o(r)
+	}
+	r.tokens = float64(r.rate)
+	r.refill = clock.Now()
+	r.closed.Add(1)
+	go r.run()
+	return r
+}
+
+// Write takes in a line. It never waits and never fails; a line that does not fit is
+// counted.
+func (r *Recorder) Write(line []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	r.tokens = min(float64(r.rate), r.tokens+now.Sub(r.refill).Seconds()*float64(r.rate))
+	r.refill = now
+	if len(r.pending)+len(line) > r.buffer || r.tokens < float64(len(line)) {
+		r.dropped++
+		r.total++
+		return len(line), nil
+	}
+	r.tokens -= float64(len(line))
+	r.pending = append(r.pending, line...)
+	return len(line), nil
+}
+
+// Dropped returns how many lines were left out.
+func (r *Recorder) Dropped() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.total
+}
+
+func (r *Recorder) run() {
+	defer r.closed.Done()
+	ticks, stop := r.clock.Ticker(flushEvery)
+	defer stop()
+	for {
+		select {
+		case <-r.done:
+			r.flush()
+			return
+		case <-ticks:
+			r.flush()
+		}
+	}
+}
+
+// flush writes what is pending. An output that fails has nowhere to be reported to but
+// the count of dropped lines.
+func (r *Recorder) flush() {
+	r.mu.Lock()
+	b := r.pending
+	r.pending = r.spare[:0]
+	if r.dropped > 0 {
+		b = append(b, "level=WARN msg=log-dropped lines="+strconv.FormatUint(r.dropped, 10)+"\n"...)
+		r.dropped = 0
+	}
+	r.mu.Unlock()
+	if len(b) > 0 {
+		if _, err := r.out.Write(b); err != nil {
+			r.mu.Lock()
+			r.total++
+			r.mu.Unlock()
+		}
+	}
+	r.mu.Lock()
+	r.spare = b
+	r.mu.Unlock()
+}
+
+// Close writes what is pending and waits for it.
+func (r *Recorder) Close() error {
+	close(r.done)
+	r.closed.Wait()
+	return nil
+}
