soaker: a fault soak of real processes

Change: `almondpick soak` and package soaker; an instance's peer door may listen elsewhere than where others reach it, so that a proxy can stand in between.

Ruled out: playing the platform's own protocol against foreign programs; the soak's ends are a stand-in of this repository.

--- a/cmd/almondpick/main.go
+++ b/cmd/almondpick/main.go
@@ -22,6 +22,7 @@
 	subcommands.Register(&demoCommand{}, "trying it")
 	subcommands.Register(&loadCommand{}, "trying it")
 	subcommands.Register(&measureCommand{}, "trying it")
+	subcommands.Register(&soakCommand{}, "trying it")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/cmd/almondpick/node.go
+++ b/cmd/almondpick/node.go
@@ -34,6 +34,7 @@
 type nodeCommand struct {
 	logLevel string
 	metrics  string
+	listen   string
 }
 
 // Name implements subcommands.Command.
@@ -50,6 +51,7 @@
 // SetFlags implements subcommands.Command.
 func (c *nodeCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error")
+	f.StringVar(&c.listen, "peer-listen", "", "IP:port that the peer door listens at, where it is not the one that others reach")
 	f.StringVar(&c.metrics, "metrics-port", "", "port for metrics at the instance's address")
 }
 
@@ -125,5 +127,6 @@
 	if c.metrics != "" {
 		set.MetricsAddress = set.Name + ":" + c.metrics
 	}
+	set.PeerListen = c.listen
 	return set, set.Validate()
 }
--- /dev/null
+++ b/cmd/almondpick/soak.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"almondpick/soaker"
+)
+
+type soakCommand struct {
+	seed      uint64
+	seeds     int
+	duration  time.Duration
+	processes int
+	folder    string
+}
+
+// Name implements subcommands.Command.
+func (*soakCommand) Name() string { return "soak" }
+
+// Synopsis implements subcommands.Command.
+func (*soakCommand) Synopsis() string { return "play random faults against processes of this program" }
+
+// Usage implements subcommands.Command.
+func (*soakCommand) Usage() string {
+	return "soak [flags]\n  Starts three stores and some entries on loopback addresses and checks the promises.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *soakCommand) SetFlags(f *flag.FlagSet) {
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the first soak")
+	f.IntVar(&c.seeds, "seeds", 1, "soaks, one after the other, with rising seeds")
+	f.DurationVar(&c.duration, "for", 20*time.Second, "time that faults are played")
+	f.IntVar(&c.processes, "processes", 7, "processes; three are stores, the others entries")
+	f.StringVar(&c.folder, "folder", "", "folder for settings, data and logs; a temporary one by default")
+}
+
+// Execute implements subcommands.Command.
+func (c *soakCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	const stores = 3
+	if c.processes <= stores || c.processes > 300 || c.seeds < 1 {
+		fmt.Fprintln(os.Stderr, "-processes has to be 4 to 300, -seeds 1 or more")
+		return subcommands.ExitUsageError
+	}
+	program, err := os.Executable()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	failed := 0
+	for seed := c.seed; seed < c.seed+uint64(c.seeds); seed++ {
+		ok, err := c.one(program, seed, stores)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return subcommands.ExitFailure
+		}
+		if !ok {
+			failed++
+		}
+	}
+	fmt.Printf("%d soaks, %d with a broken promise\n", c.seeds, failed)
+	if failed > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *soakCommand) one(program string, seed uint64, stores int) (bool, error) {
+	folder, err := os.MkdirTemp(c.folder, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		return false, err
+	}
+	r, err := soaker.Run(soaker.Settings{
+		Program: program, Folder: folder, Seed: seed, For: c.duration,
+		Stores: stores, Entries: c.processes - stores, Callers: 6,
+	}, newLogger(os.Stderr, "warn", nil))
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed %d: %d faults, %d requests, %d answered, %d refused, %d configurations acknowledged, %d promises broken\n",
+		seed, len(r.Faults), r.Asked, r.Answered, r.Refused, r.Acked, len(r.Broken))
+	if len(r.Broken) == 0 {
+		return true, os.RemoveAll(folder)
+	}
+	for _, b := range r.Broken {
+		fmt.Println("  " + b)
+	}
+	fmt.Println("  faults:", r.Faults)
+	fmt.Println("  logs:", folder)
+	return false, nil
+}
--- a/configurer/node.go
+++ b/configurer/node.go
@@ -13,7 +13,8 @@
 	Name             string // IP address, which peers and seeds go by
 	Label            string // name for people, in logs
 	DataCentre       string
-	PeerAddress      string // UDP and TCP
+	PeerAddress      string // UDP and TCP, as others reach it
+	PeerListen       string // where the peer door listens, "" for PeerAddress
 	FlowAddress      string // "" without a flow door
 	ReadyAddress     string // HTTP, tells whether the flow door takes traffic
 	OperatorAddress  string // HTTP, configuration and announcements
@@ -56,6 +57,7 @@
 		{"ready-address", n.ReadyAddress},
 		{"operator-address", n.OperatorAddress},
 		{"metrics-address", n.MetricsAddress},
+		{"peer-listen", n.PeerListen},
 	}
 	for _, a := range optional {
 		if _, err := netip.ParseAddrPort(a.value); a.value != "" && err != nil {
--- a/server/node.go
+++ b/server/node.go
@@ -80,7 +80,7 @@
 }
 
 func (n *Node) open(codec diverter.Codec, keys messenger.Keys, api API, ready Ready) error {
-	at := netip.MustParseAddrPort(n.set.PeerAddress)
+	at := netip.MustParseAddrPort(n.peerListen())
 	var err error
 	if n.peer, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at)); err != nil {
 		return eris.Wrap(err, "open peer door")
@@ -105,6 +105,14 @@
 	return n.serve(api, ready)
 }
 
+// peerListen returns where the peer door listens.
+func (n *Node) peerListen() string {
+	if n.set.PeerListen != "" {
+		return n.set.PeerListen
+	}
+	return n.set.PeerAddress
+}
+
 func (n *Node) controlSettings() controller.Settings {
 	s := controller.Settings{
 		Self: gossiper.Instance{
@@ -127,7 +135,7 @@
 
 // serve starts the peer door's TCP side and the HTTP doors.
 func (n *Node) serve(api API, ready Ready) error {
-	l, err := net.Listen("tcp4", n.set.PeerAddress)
+	l, err := net.Listen("tcp4", n.peerListen())
 	if err != nil {
 		return eris.Wrap(err, "open peer door")
 	}
--- /dev/null
+++ b/soaker/soak_test.go
@@ -0,0 +1,34 @@
+package soaker
+
+import (
+	"log/slog"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Seeds that failed once stay here, each with its cause.
+var regressions = []uint64{}
+
+func TestSoak(t *testing.T) {
+	is := is.New(t)
+	program := filepath.Join(t.TempDir(), "almondpick")
+	out, err := exec.Command("go", "build", "-o", program, "../cmd/almondpick").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for _, seed := range append([]uint64{1}, regressions...) {
+		r, err := Run(Settings{
+			Program: program, Folder: t.TempDir(), Seed: seed, For: 6 * time.Second, Stores: 3, Entries: 3, Callers: 3,
+		}, slog.New(slog.DiscardHandler))
+		is.NoErr(err)
+		t.Logf("%d faults, %d requests, %d answered", len(r.Faults), r.Asked, r.Answered)
+		for _, b := range r.Broken {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+		is.True(r.Answered > 100)
+	}
+}
