platform, soaker, gossiper: both sides of the formats in one folder

Change: platform/ends.go writes what callers, targets, operators and the platform write, tested against what is read; the soak uses it. Catching up has a file of its own in gossiper.

--- a/cmd/almondpick/node.go
+++ b/cmd/almondpick/node.go
@@ -58,7 +58,9 @@
 // Execute implements subcommands.Command.
 func (c *nodeCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	lines := recorder.New(os.Stdout, systemClock{})
-	defer lines.Close()
+	defer func() {
+		_ = lines.Close() // it has no error to tell of
+	}()
 	log := newLogger(lines, c.logLevel, nil)
 	set, err := c.settings()
 	if err != nil {
--- /dev/null
+++ b/gossiper/catchup.go
@@ -0,0 +1,79 @@
+package gossiper
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Announce spreads a record that begins at this instance. In a small deployment the
+// next tick sends it to every live member, where rumours would take several rounds.
+func (g *Gossiper) Announce(r Record) bool {
+	if !g.Publish(r) {
+		return false
+	}
+	g.urgent = append(g.urgent, r.Key)
+	return true
+}
+
+// spreadUrgent sends what has been announced here to all members, if they are few.
+func (g *Gossiper) spreadUrgent() {
+	keys := g.urgent
+	g.urgent = nil
+	if len(keys) == 0 || g.alive > everybody {
+		return
+	}
+	var batches [][]Record
+	size := maxDatagram
+	for _, k := range keys {
+		r, ok := g.store.records[k]
+		if !ok {
+			continue
+		}
+		if n := recordSize(r); size+n > maxDatagram {
+			batches = append(batches, nil)
+			size = 0
+		}
+		size += recordSize(r)
+		batches[len(batches)-1] = append(batches[len(batches)-1], r)
+	}
+	for _, m := range g.Members() {
+		for _, records := range batches {
+			if m.Alive() {
+				g.send(m.Peer, Message{Kind: KindRumor, Records: records})
+			}
+		}
+	}
+}
+
+// All returns every record that is held, for an instance that catches up.
+func (g *Gossiper) All() []Record {
+	out := make([]Record, 0, len(g.store.records))
+	for _, r := range g.store.records {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+// TakeAll takes in records that another instance held. They are not passed on: the
+// others have them.
+func (g *Gossiper) TakeAll(now time.Duration, records []Record) {
+	before := slices.Clone(g.store.rumors)
+	for _, r := range records {
+		g.accept(now, r)
+	}
+	own := InstancePrefix + g.self.Name
+	g.store.rumors = slices.DeleteFunc(g.store.rumors, func(r rumor) bool {
+		return r.key != own && !slices.ContainsFunc(before, func(b rumor) bool { return b.key == r.key })
+	})
+}
+
+// LastContact returns when a message of any member last arrived.
+func (g *Gossiper) LastContact() time.Duration {
+	var last time.Duration
+	for _, m := range g.members {
+		last = max(last, m.LastContact)
+	}
+	return last
+}
--- a/server/node.go
+++ b/server/node.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return eris.Wrap(err, "open peer door")
 	}
-	n.grpc = grpc.NewServer(grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer), grpc.SharedWriteBuffer(true))
+	n.grpc = grpc.NewServer(grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer))
 	messenger.RegisterPeer(n.grpc, &peerService{control: n.control})
 	n.run(func() error { return n.grpc.Serve(l) })
 	doors := []struct {
--- a/server/transport.go
+++ b/server/transport.go
@@ -84,7 +84,7 @@
 	if conn == nil {
 		var err error
 		conn, err = grpc.NewClient(to, grpc.WithTransportCredentials(t.creds),
-			grpc.WithReadBufferSize(connBuffer), grpc.WithWriteBufferSize(connBuffer), grpc.WithSharedWriteBuffer(true),
+			grpc.WithReadBufferSize(connBuffer), grpc.WithWriteBufferSize(connBuffer),
 			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second, Backoff: dialBackoff}))
 		if err != nil {
 			return messenger.PeerClient{}, err
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"almondpick/platform"
 )
 
 // fabric knows which entries are in rotation, as the platform's routers do.
@@ -28,7 +30,7 @@
 func (f *fabric) probe() {
 	var ready []netip.AddrPort
 	for _, i := range f.all {
-		status, _ := call(i.readyAddress(), http.MethodGet, "/api/ready", "")
+		status, _ := call(i.readyAddress(), http.MethodGet, platform.ReadyPath, "")
 		f.miss[i.name]++
 		if status == http.StatusOK {
 			f.miss[i.name] = 0
@@ -72,7 +74,7 @@
 	ledger *ledger
 	mu     sync.Mutex
 	port   uint16
-	flows  map[uint16]chan packet
+	flows  map[uint16]chan platform.Segment
 	done   sync.WaitGroup
 }
 
@@ -81,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &caller{conn: conn, ip: ip, fabric: f, ledger: l, port: 1024, flows: make(map[uint16]chan packet)}
+	c := &caller{conn: conn, ip: ip, fabric: f, ledger: l, port: 1024, flows: make(map[uint16]chan platform.Segment)}
 	c.done.Add(1)
 	go c.receive()
 	return c, nil
@@ -100,13 +102,13 @@
 		if err != nil {
 			return
 		}
-		p, ok := decode(b[:n])
-		if !ok {
+		p, err := platform.DecodeSegment(b[:n])
+		if err != nil {
 			continue
 		}
-		p.data = append([]byte(nil), p.data...)
+		p.Data = append([]byte(nil), p.Data...)
 		c.mu.Lock()
-		box := c.flows[p.dst.Port()]
+		box := c.flows[p.To.Port()]
 		c.mu.Unlock()
 		select {
 		case box <- p: // a nil box blocks, and the packet is left out
@@ -130,7 +132,7 @@
 		c.port = 1024
 	}
 	src := netip.AddrPortFrom(c.ip, c.port)
-	box := make(chan packet, 16)
+	box := make(chan platform.Segment, 16)
 	c.flows[src.Port()] = box
 	c.mu.Unlock()
 	defer func() {
@@ -146,45 +148,45 @@
 }
 
 // open sends the opening packet and its copies.
-func (c *caller) open(src, to netip.AddrPort, box chan packet) (packet, flowEnd) {
+func (c *caller) open(src, to netip.AddrPort, box chan platform.Segment) (platform.Segment, flowEnd) {
 	waits := []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, openLimit - 600*time.Millisecond}
 	for copies, wait := range waits {
-		syn := packet{src: src, dst: to, flags: flagSYN, seq: 1, ack: uint32(copies)}
+		syn := platform.Segment{From: src, To: to, Opens: true, Seq: 1, Ack: uint32(copies)}
 		if at, ok := c.fabric.pick(src, to); ok {
-			_, _ = c.conn.WriteToUDPAddrPort(syn.encode(), at) // lost, if it fails
+			_, _ = c.conn.WriteToUDPAddrPort(syn.Encode(), at) // lost, if it fails
 		}
 		select {
 		case p := <-box:
-			return p, flowEnd{opened: p.flags&flagSYN != 0, refused: p.flags&flagRST != 0}
+			return p, flowEnd{opened: p.Opens, refused: p.Resets}
 		case <-time.After(wait):
 		}
 	}
-	return packet{}, flowEnd{}
+	return platform.Segment{}, flowEnd{}
 }
 
 // ask sends the request on an open flow, through any entry, until the answer comes.
-func (c *caller) ask(name string, first packet, end *flowEnd, box chan packet) {
+func (c *caller) ask(name string, first platform.Segment, end *flowEnd, box chan platform.Segment) {
 	began := time.Now()
-	p := packet{label: first.label, src: first.dst, dst: first.src, flags: flagACK, seq: 2, ack: first.seq + 1, data: []byte(name)}
+	p := platform.Segment{Label: first.Label, From: first.To, To: first.From, Seq: 2, Ack: first.Seq + 1, Data: []byte(name)}
 	for wait := 200 * time.Millisecond; time.Since(began) < requestEnd; wait = min(2*wait, 1600*time.Millisecond) {
 		if at, ok := c.fabric.any(); ok {
-			_, _ = c.conn.WriteToUDPAddrPort(p.encode(), at) // lost, if it fails
+			_, _ = c.conn.WriteToUDPAddrPort(p.Encode(), at) // lost, if it fails
 		}
 		select {
 		case got := <-box:
-			if got.flags&flagRST != 0 {
-				if got.seq != first.label { // not the target's own
+			if got.Resets {
+				if got.Seq != first.Label { // not the target's own
 					c.ledger.cutShort(name, began)
 				}
 				return
 			}
-			if len(got.data) == 0 {
+			if len(got.Data) == 0 {
 				continue
 			}
-			end.answer = string(got.data)
-			p.flags, p.data = flagACK|flagFIN, nil
+			end.answer = string(got.Data)
+			p.Ends, p.Data = true, nil
 			if at, ok := c.fabric.any(); ok {
-				_, _ = c.conn.WriteToUDPAddrPort(p.encode(), at)
+				_, _ = c.conn.WriteToUDPAddrPort(p.Encode(), at)
 			}
 			return
 		case <-time.After(wait):
--- a/soaker/ends.go
+++ b/soaker/ends.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,9 +9,13 @@
 	"strings"
 	"sync"
 	"time"
+
+	"almondpick/announcer"
+	"almondpick/platform"
 )
 
 const (
+	slots      = 4 // of a target
 	heartbeat  = 300 * time.Millisecond
 	callLimit  = time.Second
 	workTime   = 20 * time.Millisecond
@@ -33,11 +36,10 @@
 	ledger   *ledger
 
 	mu       sync.Mutex
-	seq      int
+	seq      uint64
 	draining bool
-	leftAt   time.Time // acknowledgement of the word that it leaves
-	home     string
-	flows    map[netip.AddrPort]*packet // by caller: the answer, empty until it has run
+	leftAt   time.Time                            // acknowledgement of the word that it leaves
+	flows    map[netip.AddrPort]*platform.Segment // by caller: the answer, empty until it has run
 	done     chan struct{}
 	loops    sync.WaitGroup
 }
@@ -49,7 +51,7 @@
 	}
 	t := &target{
 		identity: identity, pool: pool, zone: zone, born: time.Now().UnixMilli(), conn: conn, at: at, stores: stores,
-		ledger: l, flows: make(map[netip.AddrPort]*packet), done: make(chan struct{}),
+		ledger: l, flows: make(map[netip.AddrPort]*platform.Segment), done: make(chan struct{}),
 	}
 	t.loops.Add(2)
 	go t.announce()
@@ -57,7 +59,7 @@
 	return t, nil
 }
 
-func (t *target) id() string { return fmt.Sprintf("i-%010x", t.identity) }
+func (t *target) id() string { return platform.TargetID(t.identity) }
 
 // announce sends heartbeats until the target ends.
 func (t *target) announce() {
@@ -75,14 +77,18 @@
 func (t *target) beat() {
 	t.mu.Lock()
 	t.seq++
-	draining, state := t.draining, "ready"
+	draining, state := t.draining, announcer.Serving
 	if draining {
-		state = "draining"
+		state = announcer.Draining
 	}
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","concurrency":4,"state":%q,"warmupLeftMs":0,"seq":%d,"born":%d}`,
-		t.pool, t.at, t.zone, state, t.seq, t.born)
+	body, err := platform.EncodeHeartbeat(announcer.Announcement{
+		Endpoint: t.at, Job: t.pool, DataCentre: t.zone, Slots: slots, State: state, Sequence: t.seq, Incarnation: uint64(t.born),
+	})
 	t.mu.Unlock()
-	acked := callAny(t.stores(), http.MethodPut, "/api/instances/"+t.id(), body)
+	if err != nil {
+		panic(err) // a struct of plain fields always encodes
+	}
+	acked := callAny(t.stores(), http.MethodPut, platform.TargetPath(t.identity), string(body))
 	if draining && acked {
 		t.mu.Lock()
 		if t.leftAt.IsZero() {
@@ -106,7 +112,7 @@
 	_ = t.conn.Close()
 	t.loops.Wait()
 	if !quietly {
-		callAny(t.stores(), http.MethodDelete, "/api/instances/"+t.id(), "")
+		callAny(t.stores(), http.MethodDelete, platform.TargetPath(t.identity), "")
 	}
 }
 
@@ -118,55 +124,49 @@
 		if err != nil {
 			return
 		}
-		if n < prefixSize {
-			continue
-		}
-		identity := uint64(0)
-		for _, c := range b[:prefixSize] {
-			identity = identity<<8 | uint64(c)
-		}
-		if p, ok := decode(b[prefixSize:n]); ok && identity == t.identity {
-			p.data = append([]byte(nil), p.data...)
+		identity, p, err := platform.DecodeAddressed(b[:n])
+		if err == nil && identity == t.identity {
+			p.Data = append([]byte(nil), p.Data...)
 			t.take(p)
 		}
 	}
 }
 
 // take does what a target does with a packet of a caller.
-func (t *target) take(p packet) {
-	answer := packet{label: p.label, src: p.dst, dst: p.src, seq: uint32(t.identity), ack: p.seq + 1}
+func (t *target) take(p platform.Segment) {
+	answer := platform.Segment{Label: p.Label, From: p.To, To: p.From, Seq: uint32(t.identity), Ack: p.Seq + 1}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case p.flags&flagSYN != 0:
-		if t.flows[p.src] == nil {
+	case p.Opens:
+		if t.flows[p.From] == nil {
 			t.ledger.opened(t, p)
-			t.flows[p.src] = &packet{}
+			t.flows[p.From] = &platform.Segment{}
 		}
-		answer.flags = flagSYN | flagACK
-	case t.flows[p.src] == nil:
-		answer.flags = flagRST
-	case p.flags&(flagFIN|flagRST) != 0:
-		delete(t.flows, p.src)
+		answer.Opens, answer.Accepts = true, true
+	case t.flows[p.From] == nil:
+		answer.Resets = true
+	case p.Ends || p.Resets:
+		delete(t.flows, p.From)
 		return
-	case len(p.data) > 0 && len(t.flows[p.src].data) == 0:
-		t.ledger.ran(t, string(p.data))
-		answer.flags = flagACK | flagFIN
-		answer.data = []byte(t.id() + " " + string(p.data))
-		t.flows[p.src] = &answer
+	case len(p.Data) > 0 && len(t.flows[p.From].Data) == 0:
+		t.ledger.ran(t, string(p.Data))
+		answer.Ends = true
+		answer.Data = []byte(t.id() + " " + string(p.Data))
+		t.flows[p.From] = &answer
 		time.AfterFunc(workTime, func() { t.send(answer) })
 		return
-	case len(p.data) > 0:
-		answer = *t.flows[p.src] // sent again, not run again
+	case len(p.Data) > 0:
+		answer = *t.flows[p.From] // sent again, not run again
 	default:
 		return
 	}
 	t.send(answer)
 }
 
-func (t *target) send(p packet) {
+func (t *target) send(p platform.Segment) {
 	// The caller may have gone, or the target ended; both are part of the play.
-	_, _ = t.conn.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(p.dst.Addr(), callerPort))
+	_, _ = t.conn.WriteToUDPAddrPort(p.Encode(), netip.AddrPortFrom(p.To.Addr(), callerPort))
 }
 
 // callAny calls the addresses in turn until one acknowledges.
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -101,7 +101,7 @@
 	}
 	defer i.release()
 	s.note("stop and start %s as planned", i.name)
-	if !i.stop(syscall.SIGTERM, stopGrace) {
+	if !i.stop(syscall.SIGTERM) {
 		s.ledger.mu.Lock()
 		s.ledger.breaks("planned stop", "%s did not end in time", i.name)
 		s.ledger.mu.Unlock()
@@ -118,7 +118,7 @@
 	}
 	defer i.release()
 	s.note("kill %s for %s", i.name, d)
-	i.stop(syscall.SIGKILL, stopGrace)
+	i.stop(syscall.SIGKILL)
 	s.rest(d)
 	s.restart(i)
 }
@@ -162,7 +162,7 @@
 	s.note("wipe %s", i.name)
 	s.unplanned(func() {
 		defer i.release()
-		i.stop(syscall.SIGKILL, stopGrace)
+		i.stop(syscall.SIGKILL)
 		if err := os.RemoveAll(filepath.Join(i.folder, "data")); err != nil {
 			s.log.Error("disk-not-wiped", "instance", i.name, "error", err)
 		}
@@ -184,14 +184,14 @@
 		i.signal(syscall.SIGKILL)
 	}
 	for _, i := range taken {
-		i.stop(syscall.SIGKILL, stopGrace)
+		i.stop(syscall.SIGKILL)
 		s.restart(i)
 	}
 }
 
 // replaceTarget drains the oldest target of a pool and adds another, as a release does.
 func (s *Soak) replaceTarget() {
-	pool := []string{"menus", "packs"}[s.random.IntN(2)]
+	pool := []string{menus, packs}[s.random.IntN(2)]
 	old := s.targets[pool][0]
 	s.targets[pool] = s.targets[pool][1:]
 	if err := s.addTarget(pool); err != nil {
--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -2,10 +2,11 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"almondpick/platform"
 )
 
 // ledger holds what callers, targets and the operator have seen, and finds the promises
@@ -40,14 +41,14 @@
 }
 
 // opened notes an opening packet that a target took in.
-func (l *ledger) opened(t *target, p packet) {
+func (l *ledger) opened(t *target, p platform.Segment) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if want := l.pools[p.dst.String()]; want != t.pool {
-		l.breaks("wrong service", "flow %s to %s reached %s of %s", p.src, p.dst, t.id(), t.pool)
+	if want := l.pools[p.To.String()]; want != t.pool {
+		l.breaks("wrong service", "flow %s to %s reached %s of %s", p.From, p.To, t.id(), t.pool)
 	}
 	if !t.leftAt.IsZero() && time.Since(t.leftAt) > drainLimit && l.calm(t.leftAt) {
-		l.breaks("leaving target", "%s got flow %s %s after its word was taken", t.id(), p.src, time.Since(t.leftAt))
+		l.breaks("leaving target", "%s got flow %s %s after its word was taken", t.id(), p.From, time.Since(t.leftAt))
 	}
 }
 
@@ -122,9 +123,7 @@
 func (l *ledger) read(floor uint64, body string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rest, _ := strings.CutPrefix(body, `{"version":`)
-	number, _, _ := strings.Cut(rest, ",")
-	v, err := strconv.ParseUint(number, 10, 64)
+	v, err := platform.ConfigurationVersion([]byte(body))
 	switch {
 	case err != nil || l.sent[v] != body:
 		l.breaks("configuration", "read back %.40q, which was never sent", body)
--- a/soaker/ledger_test.go
+++ b/soaker/ledger_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"almondpick/platform"
 )
 
 // Each broken promise is caught; what is allowed is not.
@@ -13,7 +15,7 @@
 	menu := &target{identity: 1, pool: "menus", at: at}
 	pack := &target{identity: 2, pool: "packs", at: at}
 	leaving := &target{identity: 3, pool: "menus", at: at, leftAt: time.Now().Add(-2 * drainLimit)}
-	syn := packet{src: at, dst: menuRoute, flags: flagSYN}
+	syn := platform.Segment{From: at, To: menuRoute, Opens: true}
 	old := time.Now().Add(-time.Minute)
 	for _, c := range []struct {
 		name string
@@ -35,17 +37,17 @@
 		{"valid order refused", true, func(l *ledger) { l.put(4, "x", false, 400) }, "order"},
 		{"order unclear", true, func(l *ledger) { l.put(4, "x", false, 503) }, ""},
 		{"read back", true, func(l *ledger) {
-			l.put(4, `{"version":4,}`, false, 200)
-			l.read(4, `{"version":4,}`)
+			l.put(4, document(4, false), false, 200)
+			l.read(4, document(4, false))
 		}, ""},
 		{"read back older", true, func(l *ledger) {
-			l.put(4, `{"version":4,}`, false, 200)
-			l.put(5, `{"version":5,}`, false, 200)
-			l.read(5, `{"version":4,}`)
+			l.put(4, document(4, false), false, 200)
+			l.put(5, document(5, false), false, 200)
+			l.read(5, document(4, false))
 		}, "configuration"},
 		{"read back other content", true, func(l *ledger) {
-			l.put(4, `{"version":4,}`, false, 200)
-			l.read(4, `{"version":4,"x":1}`)
+			l.put(4, document(4, false), false, 200)
+			l.read(4, document(4, true))
 		}, "configuration"},
 		{"dropped route opens", true, func(l *ledger) {
 			l.put(4, "x", false, 200)
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -1,7 +1,7 @@
 package soaker
 
 import (
-	"fmt"
+	"errors"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -9,6 +9,9 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"almondpick/configurer"
+	"almondpick/platform"
 )
 
 // Ports of all instances; each has an address of its own.
@@ -41,21 +44,21 @@
 
 // settings writes the settings file.
 func (i *instance) settings(seeds []string, first bool) error {
-	listen, data := "", "null"
+	n := configurer.Node{
+		Name: i.ip.String(), Label: i.name, DataCentre: i.zone, FirstStart: first, AnnounceInterval: heartbeat,
+		LostInstances: 1, StopGrace: stopGrace,
+	}
 	if i.store {
-		listen = fmt.Sprintf("  controlPlane: %q\n", i.controlAddress())
-		data = fmt.Sprintf("%q", filepath.Join(i.folder, "data"))
+		n.OperatorAddress = i.controlAddress()
+		n.DataFolder = filepath.Join(i.folder, "data")
 	} else {
-		listen = fmt.Sprintf("  dataAddr: %q\n  readyAddr: %q\n", i.flowAddress(), i.readyAddress())
+		n.FlowAddress, n.ReadyAddress = i.flowAddress().String(), i.readyAddress()
 	}
-	text := fmt.Sprintf("nodeId: %q\nip: %q\nzone: %q\nlisten:\n%sinternalPorts: [%d, %d]\nseeds:\n",
-		i.name, i.ip, i.zone, listen, peerPort, peerPort+15)
-	for _, s := range seeds {
-		text += fmt.Sprintf("  - %q\n", s)
+	b, err := platform.EncodeSettings(n, peerPort, seeds)
+	if err != nil {
+		return err
 	}
-	text += fmt.Sprintf("bootstrap: %t\ndataDir: %s\nheartbeatMs: %d\nfaultTolerance: {machines: 1, zones: 1}\nbounds: {graceS: 5}\n",
-		first, data, heartbeat.Milliseconds())
-	return os.WriteFile(filepath.Join(i.folder, "node.yaml"), []byte(text), 0o600)
+	return os.WriteFile(filepath.Join(i.folder, "node.yaml"), b, 0o600)
 }
 
 // peerListen returns where the peer door listens, behind the proxy.
@@ -72,11 +75,12 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
+	//nolint:gosec // the program is the one that plays the soak
 	cmd := exec.Command(program, "node", "-peer-listen", i.peerListen().String())
-	cmd.Env = append(os.Environ(), "ALMONDPICK_NODE_FILE="+filepath.Join(i.folder, "node.yaml"))
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+filepath.Join(i.folder, "node.yaml"))
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	// The process has the file open itself once it has started.
+	if err := errors.Join(cmd.Start(), log.Close()); err != nil {
 		return err
 	}
 	ended := make(chan struct{})
@@ -102,7 +106,7 @@
 
 // stop ends the process with a signal and waits for it; one that does not end in time
 // is killed.
-func (i *instance) stop(s syscall.Signal, grace time.Duration) bool {
+func (i *instance) stop(s syscall.Signal) bool {
 	i.signal(s)
 	i.mu.Lock()
 	ended := i.ended
@@ -113,7 +117,7 @@
 	select {
 	case <-ended:
 		return true
-	case <-time.After(grace):
+	case <-time.After(stopGrace):
 		i.signal(syscall.SIGKILL)
 		<-ended
 		return false
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -11,10 +11,12 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"almondpick/planner"
+	"almondpick/platform"
 )
 
 // Times of the soak.
@@ -73,6 +75,12 @@
 	loops   sync.WaitGroup
 }
 
+// The pools.
+const (
+	menus = "menus"
+	packs = "packs"
+)
+
 var (
 	menuRoute  = netip.MustParseAddrPort("198.18.0.1:443")
 	packRoute  = netip.MustParseAddrPort("198.18.0.2:443")
@@ -87,8 +95,8 @@
 		targets: make(map[string][]*target), done: make(chan struct{}), lastBad: time.Now(),
 	}
 	s.ledger.calm = s.calm
-	s.ledger.pools[menuRoute.String()], s.ledger.pools[extraRoute.String()] = "menus", "menus"
-	s.ledger.pools[packRoute.String()] = "packs"
+	s.ledger.pools[menuRoute.String()], s.ledger.pools[extraRoute.String()] = menus, menus
+	s.ledger.pools[packRoute.String()] = packs
 	defer s.close()
 	if err := s.prepare(); err != nil {
 		return Report{}, err
@@ -110,26 +118,12 @@
 	return netip.AddrFrom4([4]byte{127, byte(64 + s.set.Seed%150), byte(net*16 + zone), byte(n + 1)})
 }
 
+// prepare starts the instances, the targets and the callers.
 func (s *Soak) prepare() error {
 	for n := range s.set.Stores + s.set.Entries {
-		zone := n % 3
-		i := &instance{
-			name: fmt.Sprintf("i%d", n), zone: fmt.Sprintf("zone-%d", zone), store: n < s.set.Stores,
-			ip: s.address(1, zone, n), own: s.address(2, zone, n), folder: filepath.Join(s.set.Folder, fmt.Sprintf("i%d", n)),
-		}
-		if err := os.MkdirAll(i.folder, 0o700); err != nil {
-			return err
-		}
-		at := i.peerListen()
-		var err error
-		if i.proxy, err = newProxy(netip.AddrPortFrom(i.ip, at.Port()), at, rand.IntN); err != nil {
+		if err := s.addInstance(n); err != nil {
 			return err
 		}
-		if i.store {
-			s.stores = append(s.stores, i)
-		} else {
-			s.entries = append(s.entries, i)
-		}
 	}
 	for _, i := range s.all() {
 		if err := i.settings(s.seeds(), true); err != nil {
@@ -140,11 +134,7 @@
 		}
 	}
 	s.fabric = &fabric{all: s.entries, miss: make(map[string]int)}
-	for n := range 8 {
-		pool := "menus"
-		if n >= 5 {
-			pool = "packs"
-		}
+	for _, pool := range []string{menus, menus, menus, menus, menus, packs, packs, packs} {
 		if err := s.addTarget(pool); err != nil {
 			return err
 		}
@@ -159,6 +149,29 @@
 	return nil
 }
 
+// addInstance makes an instance and the proxy before it.
+func (s *Soak) addInstance(n int) error {
+	zone := n % 3
+	i := &instance{
+		name: fmt.Sprintf("i%d", n), zone: fmt.Sprintf("zone-%d", zone), store: n < s.set.Stores,
+		ip: s.address(1, zone, n), own: s.address(2, zone, n), folder: filepath.Join(s.set.Folder, fmt.Sprintf("i%d", n)),
+	}
+	if err := os.MkdirAll(i.folder, 0o700); err != nil {
+		return err
+	}
+	at := i.peerListen()
+	var err error
+	if i.proxy, err = newProxy(netip.AddrPortFrom(i.ip, at.Port()), at, rand.IntN); err != nil {
+		return err
+	}
+	if i.store {
+		s.stores = append(s.stores, i)
+	} else {
+		s.entries = append(s.entries, i)
+	}
+	return nil
+}
+
 func (s *Soak) all() []*instance {
 	return append(append([]*instance(nil), s.stores...), s.entries...)
 }
@@ -252,16 +265,24 @@
 
 // document is a configuration; some have one route more.
 func document(version uint64, extra bool) string {
-	route := func(name string, at netip.AddrPort, kind, pool string, version uint64) string {
-		return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":"/%d/","type":%q,"timeoutMs":%d,"sloMs":200,"priority":1,"service":%q,"maxAttempts":2}`,
-			name, at.Addr(), at.Port(), kind, 2000+version%500, pool)
+	route := func(name string, at netip.AddrPort, kind planner.RepeatKind, pool string) planner.Route {
+		return planner.Route{
+			Name: name, Address: at, Kind: kind, Timeout: 2*time.Second + time.Duration(version%500)*time.Millisecond,
+			Objective: 200 * time.Millisecond, Shares: []planner.Share{{Pool: pool, Weight: 1}},
+		}
+	}
+	r := planner.Ruleset{
+		Version: version, Idle: 15 * time.Second, Pools: []planner.Pool{{Name: menus, HealthPath: "/h"}, {Name: packs, HealthPath: "/h"}},
+		Routes: []planner.Route{route("menu", menuRoute, planner.Idempotent, menus), route("pack", packRoute, planner.Transfer, packs)},
 	}
-	routes := []string{route("menu", menuRoute, "safe", "menus", version), route("pack", packRoute, "download", "packs", version)}
 	if extra {
-		routes = append(routes, route("extra", extraRoute, "unsafe", "menus", version))
+		r.Routes = append(r.Routes, route("extra", extraRoute, planner.Once, menus))
+	}
+	b, err := platform.EncodeConfiguration(r)
+	if err != nil {
+		panic(err) // a struct of plain fields always encodes
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"menus","healthPath":"/h","maxConns":100},{"name":"packs","healthPath":"/h","maxConns":100}],"limits":{"idleTimeoutMs":15000}}`,
-		version, strings.Join(routes, ","))
+	return string(b)
 }
 
 // put sends the next configuration until a store acknowledges it, or all have failed.
@@ -272,7 +293,7 @@
 	s.ledger.put(s.version, body, s.extra, 0)
 	for range 3 {
 		for _, at := range s.controls() {
-			status, _ := call(at, http.MethodPut, "/api/config", body)
+			status, _ := call(at, http.MethodPut, platform.ConfigurationPath, body)
 			s.ledger.put(s.version, body, s.extra, status)
 			if status == http.StatusOK {
 				return
@@ -283,7 +304,7 @@
 
 func (s *Soak) readBack() {
 	floor := s.ledger.newest(time.Now())
-	if status, body := call(s.controls()[0], http.MethodGet, "/api/config", ""); status == http.StatusOK {
+	if status, body := call(s.controls()[0], http.MethodGet, platform.ConfigurationPath, ""); status == http.StatusOK {
 		s.ledger.read(floor, body)
 	}
 }
@@ -292,7 +313,7 @@
 func (s *Soak) final() {
 	floor := s.ledger.newest(time.Now())
 	for _, at := range s.controls() {
-		status, body := call(at, http.MethodGet, "/api/config", "")
+		status, body := call(at, http.MethodGet, platform.ConfigurationPath, "")
 		if status != http.StatusOK {
 			s.ledger.mu.Lock()
 			s.ledger.breaks("recovery", "%s answers a read with %d", at, status)
@@ -338,7 +359,7 @@
 	s.loops.Wait()
 	for _, i := range s.all() {
 		i.signal(syscall.SIGCONT)
-		i.stop(syscall.SIGKILL, stopGrace)
+		i.stop(syscall.SIGKILL)
 		i.proxy.close()
 	}
 	for _, list := range s.targets {
