--- a/server/node.go
+++ b/server/node.go
@@ -27,13 +27,12 @@
 
 // Times of an instance that steers by label.
 const (
-	nodeHeartbeat   = 200 * time.Millisecond
-	nodeElection    = 800 * time.Millisecond
-	headerTimeout   = 2 * time.Second
-	stopReserve     = time.Second // before the kill that follows a wish to stop
-	rotationLag     = 2500 * time.Millisecond
-	datagramSize    = 64 << 10 // bytes
-	peerSocketBytes = 1 << 20
+	nodeHeartbeat = 200 * time.Millisecond
+	nodeElection  = 800 * time.Millisecond
+	headerTimeout = 2 * time.Second
+	stopReserve   = time.Second // before the kill that follows a wish to stop
+	rotationLag   = 2500 * time.Millisecond
+	datagramSize  = 64 << 10 // bytes
 )
 
 // API makes the handler of the operator door over the control state.
