--- a/controller/chores.go
+++ b/controller/chores.go
@@ -87,30 +87,32 @@
 	}
 	c.fetching = true
 	after := c.machine.Index()
-	c.closed.Add(1)
-	go func() {
-		defer c.closed.Done()
-		ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
-		defer cancel()
+	c.background(func(ctx context.Context) func() {
 		reply, err := c.transport.Fetch(ctx, best.RPC, after)
-		c.do(c.ctx, func() {
+		return func() {
 			c.fetching = false
 			if err != nil {
 				c.log.Warn("fetch-failed", "from", best.Name, "error", err)
 				return
 			}
-			if len(reply.Snapshot) > 0 {
-				if err := c.restore(reply.Snapshot); err != nil {
-					c.log.Error("fetch-unreadable", "from", best.Name, "error", err)
-				}
-				c.commands = nil
-			}
-			for _, a := range reply.Commands {
-				c.applyCommand(a)
-			}
-			c.machine.Skip(reply.Index)
-		})
-	}()
+			c.takeFetched(best.Name, reply)
+		}
+	})
+}
+
+// takeFetched takes in what another instance has sent of the configuration.
+func (c *Controller) takeFetched(from string, reply *messenger.FetchReply) {
+	if len(reply.Snapshot) > 0 {
+		if err := c.restore(reply.Snapshot); err != nil {
+			c.log.Error("fetch-unreadable", "from", from, "error", err)
+			return // this position of the log has not been reached
+		}
+		c.commands = nil
+	}
+	for _, a := range reply.Commands {
+		c.applyCommand(a)
+	}
+	c.machine.Skip(reply.Index)
 }
 
 // restore replaces the state by a packed one from another instance.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -266,6 +266,18 @@
 	}
 }
 
+// background runs call outside of the control goroutine, for fetchTimeout at most, and
+// what it returns inside of it.
+func (c *Controller) background(call func(ctx context.Context) (finish func())) {
+	c.closed.Add(1)
+	go func() {
+		defer c.closed.Done()
+		ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
+		defer cancel()
+		c.do(c.ctx, call(ctx))
+	}()
+}
+
 // post has f run in the control goroutine; it is dropped when too much waits.
 func (c *Controller) post(f func()) bool {
 	select {
--- a/controller/read.go
+++ b/controller/read.go
@@ -182,21 +182,17 @@
 		return
 	}
 	c.reading = true
-	c.closed.Add(1)
-	go func() {
-		defer c.closed.Done()
-		ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
-		defer cancel()
+	c.background(func(ctx context.Context) func() {
 		at, err := c.Read(ctx)
-		c.do(c.ctx, func() {
+		return func() {
 			c.reading = false
 			if err != nil {
 				c.log.Debug("confirmation-failed", "error", err)
 				return
 			}
 			c.confirm = c.machine.Config().Version >= at.Version
-		})
-	}()
+		}
+	})
 }
 
 func rulesetVersion(cfg planner.Config) uint64 {
--- a/controller/read_test.go
+++ b/controller/read_test.go
@@ -63,3 +63,14 @@
 	is.NoErr(late.restore(newer))
 	is.Equal(rulesetVersion(late.machine.Config()), uint64(8))
 }
+
+// An answer that cannot be read must not count as progress: the instance would never ask
+// for what it lacks again.
+func TestAnUnreadableAnswerIsNoProgress(t *testing.T) {
+	is := is.New(t)
+	c := &Controller{machine: planner.NewMachine(), log: slog.New(slog.DiscardHandler)}
+	c.takeFetched("other", &messenger.FetchReply{Snapshot: []byte{0x01, 0xff, 0xff}, Index: 9})
+	is.Equal(c.machine.Index(), uint64(0))
+	c.takeFetched("other", &messenger.FetchReply{Index: 9}) // nothing but positions without a command
+	is.Equal(c.machine.Index(), uint64(9))
+}
--- a/controller/sync.go
+++ b/controller/sync.go
@@ -33,13 +33,9 @@
 		return
 	}
 	c.syncing = true
-	c.closed.Add(1)
-	go func() {
-		defer c.closed.Done()
-		ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
-		defer cancel()
+	c.background(func(ctx context.Context) func() {
 		reply, err := c.transport.Records(ctx, from)
-		c.do(c.ctx, func() {
+		return func() {
 			c.syncing = false
 			if err != nil {
 				c.log.Warn("catch-up-failed", "from", from, "error", err)
@@ -49,8 +45,8 @@
 			c.learnTargets(c.now())
 			c.synced = true
 			c.log.Info("caught-up", "from", from, "records", len(reply.Records))
-		})
-	}()
+		}
+	})
 }
 
 // Records returns all that this instance knows of instances and targets. It returns a
