controller, announcer, journaler: stores keep targets through a restart of everything

Also found: the home of a target that restarts hears from others that the target is its own but did not watch it, so a target that ended meanwhile was never declared lost, and one that went on was announced to everybody again.

Ruled out: the election (1 s; entries serve before it), processor time at the start (45 ms to start, 7 ms to read the log), the fetch of the configuration (20 ms).

A home watches the targets that are its own. Entries catch up with the first message of a store, begin at once and probe seeds every 40 ms while they know nobody.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -323,8 +323,13 @@
 	if old != nil && old.Home == b.Home && old.Sequence == a.Sequence && old.Incarnation == a.Incarnation && old.Lost == lost {
 		return
 	}
-	if b.Home != r.self {
+	switch {
+	case b.Home != r.self || lost || a.State == Gone:
 		delete(r.home, endpoint)
+	default:
+		// This instance was the home before it restarted. It watches the target again:
+		// nobody else would notice that it has ended meanwhile.
+		r.home[endpoint] = local{heard: now, published: now, sequence: a.Sequence}
 	}
 	r.take(now, a, b.Home, lost)
 }
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -85,6 +85,40 @@
 	is.True(!only(r).Fit(7 * second))
 }
 
+// The home of a target has forgotten it in a restart, and hears from others that the
+// target is its own. A target that ended meanwhile must not stay for good.
+func TestARestartedHomeWatchesTheTargetsThatAreItsOwn(t *testing.T) {
+	is := is.New(t)
+	r, s := NewRegistry("i1"), &spreader{}
+	is.NoErr(r.Announce(0, announcement(1, nil), s))
+	again, said := NewRegistry("i1"), &spreader{}
+	again.Learn(second, s.records[0])
+	again.Tick(second, alive, said)
+	is.True(only(again).Fit(second)) // it may well be there
+	for now := second; now <= second+LostAfter; now += second {
+		again.Tick(now, alive, said)
+	}
+	is.True(only(again).Lost)
+	is.Equal(len(said.records), 1) // and all others hear of it
+	is.Equal(said.records[0].Rank, gossiper.RankSuspect)
+}
+
+// A target that goes on announcing itself to its restarted home stays.
+func TestARestartedHomeKeepsATargetThatGoesOn(t *testing.T) {
+	is := is.New(t)
+	r, s := NewRegistry("i1"), &spreader{}
+	is.NoErr(r.Announce(0, announcement(1, nil), s))
+	again, said := NewRegistry("i1"), &spreader{}
+	again.Learn(0, s.records[0])
+	for n := range uint64(10) {
+		now := time.Duration(n) * second
+		is.NoErr(again.Announce(now, announcement(2+n, nil), said))
+		again.Tick(now, alive, said)
+		is.True(!only(again).Lost)
+	}
+	is.Equal(len(said.records), 0) // nothing of this is news
+}
+
 func TestEndpointWithAnotherJobIsFenced(t *testing.T) {
 	is := is.New(t)
 	r, s := NewRegistry("i1"), &spreader{}
--- /dev/null
+++ b/controller/cache_test.go
@@ -0,0 +1,77 @@
+package controller
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"almondpick/announcer"
+	"almondpick/journaler"
+	"almondpick/messenger"
+)
+
+func servingTarget(n int) announcer.Announcement {
+	return announcer.Announcement{
+		Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(n)}), 8080), Job: "pool-a", Slots: 2,
+		Incarnation: 1, Sequence: 1, Identity: uint64(n),
+	}
+}
+
+func fitTargets(c *Controller) int {
+	n := 0
+	c.do(context.Background(), func() {
+		c.registry.Targets(func(t announcer.Target) {
+			if t.Fit(c.now()) {
+				n++
+			}
+		})
+	})
+	return n
+}
+
+// Every store restarts at the same moment and no target has announced itself since: the
+// stores know the targets all the same. One with a torn cache starts without it and
+// learns from the others.
+func TestTargetsOutliveARestartOfAllStores(t *testing.T) {
+	is := is.New(t)
+	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
+	is.NoErr(err)
+	w := &wires{keys: keys, members: make(map[string]*Controller)}
+	folders := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+	for n := range 3 {
+		w.start(t, n, folders[n], true)
+	}
+	for n := range 6 {
+		is.NoErr(w.at(peerOf(n%3)).Announce(context.Background(), servingTarget(n+1)))
+	}
+	eventually(t, "all are on all disks", func() bool {
+		for _, folder := range folders {
+			var s savedTargets
+			b, err := journaler.LoadCache(folder)
+			if err != nil || b == nil || messenger.Decode(b, &s) != nil || len(s.Records) != 6 {
+				return false
+			}
+		}
+		return true
+	})
+	for n := range 3 {
+		w.stop(t, n)
+	}
+	path := filepath.Join(folders[2], journaler.CacheFile)
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(path, whole[:len(whole)/2], 0o600))
+	for n := range 2 {
+		is.Equal(fitTargets(w.start(t, n, folders[n], false)), 6)
+	}
+	torn := w.start(t, 2, folders[2], false)
+	eventually(t, "the third learns them", func() bool { return fitTargets(torn) == 6 })
+	eventually(t, "targets that stay silent are lost", func() bool { return fitTargets(torn) == 0 })
+	for n := range 3 {
+		w.stop(t, n)
+	}
+}
--- a/controller/chores.go
+++ b/controller/chores.go
@@ -29,6 +29,7 @@
 	c.fetchNewer()
 	c.noteFences(now)
 	c.noteMembers(now)
+	c.saveTargets(now)
 	if c.set.Electorate > 0 {
 		c.catchUp(now)
 		c.noteConfirmed(now)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -111,6 +111,7 @@
 	reading  bool // a read that confirms the configuration is under way
 	commands []keptCommand
 	packed   packedState
+	cache    targetCache
 	fetching bool
 	ready    bool
 	confirm  bool
@@ -198,6 +199,7 @@
 			c.cancel()
 			return nil, err
 		}
+		c.loadTargets()
 	}
 	c.closed.Add(1)
 	go c.run()
@@ -212,7 +214,10 @@
 	defer c.closed.Done()
 	ticks, stop := c.clock.Ticker(tickEvery)
 	defer stop()
+	c.tick()
 	for {
+		c.applyVoter()
+		c.publish()
 		select {
 		case <-c.done:
 			return
@@ -221,8 +226,6 @@
 		case <-ticks:
 			c.tick()
 		}
-		c.applyVoter()
-		c.publish()
 	}
 }
 
@@ -344,6 +347,9 @@
 		c.send(c.gossip.Handle(c.now(), from, m))
 		c.learnTargets(c.now())
 		c.fetchNewer()
+		if c.set.Electorate > 0 {
+			c.catchUp(c.now())
+		}
 	}), nil
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -35,9 +35,9 @@
 	reportEvery     = 30 * time.Second
 	reportAgain     = 2 * time.Second
 	reportTimes     = 2
-	seedPeriod      = 100 * time.Millisecond // between probes of seeds while nobody is known
-	everybody       = 128                    // members that news of this instance's own goes to at once
-	versionFanout   = 3                      // instances that are told of a new version at random
+	seedPeriod      = 40 * time.Millisecond // between probes of seeds while nobody is known
+	everybody       = 128                   // members that news of this instance's own goes to at once
+	versionFanout   = 3                     // instances that are told of a new version at random
 )
 
 // Member is what this instance believes of another.
--- /dev/null
+++ b/journaler/cache_test.go
@@ -0,0 +1,43 @@
+package journaler
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestCacheKeepsWhatWasSavedLast(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	b, err := LoadCache(folder)
+	is.NoErr(err)
+	is.Equal(b, nil)
+	is.NoErr(SaveCache(folder, []byte("first")))
+	is.NoErr(SaveCache(folder, []byte("second")))
+	b, err = LoadCache(folder)
+	is.NoErr(err)
+	is.Equal(string(b), "second")
+	is.True(Empty(folder)) // a cache makes no voter
+}
+
+func TestATornCacheIsLeftOut(t *testing.T) {
+	folder := t.TempDir()
+	if err := SaveCache(folder, []byte("what was known")); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(folder, CacheFile)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range whole {
+		is := is.New(t)
+		is.NoErr(os.WriteFile(path, whole[:n], 0o600))
+		_, err := LoadCache(folder)
+		var damage *DamageError
+		is.True(errors.As(err, &damage))
+	}
+}
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -359,15 +359,29 @@
 	return nil
 }
 
-// replace writes a file beside the one of that name, syncs it and puts it in its
-// place.
+// replace replaces a file of the data folder as replaceFile does.
 func (j *Journal) replace(name string, content []byte) error {
-	path := filepath.Join(j.folder, name)
-	f, err := os.OpenFile(path+temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	return replaceFile(j.folder, name, content, func(path string) (file, error) {
+		f, err := openTemporary(path)
+		if err != nil {
+			return nil, err
+		}
+		return j.wrap(f), nil
+	})
+}
+
+func openTemporary(path string) (file, error) {
+	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+}
+
+// replaceFile writes a file beside the one of that name, syncs it and puts it in its
+// place.
+func replaceFile(folder, name string, content []byte, open func(path string) (file, error)) error {
+	path := filepath.Join(folder, name)
+	w, err := open(path + temporary)
 	if err != nil {
 		return eris.Wrap(err, "create "+name)
 	}
-	w := j.wrap(f)
 	_, err = w.Write(content)
 	err = errors.Join(err, w.Sync(), w.Close())
 	if err != nil {
@@ -376,7 +390,7 @@
 	if err := os.Rename(path+temporary, path); err != nil {
 		return eris.Wrap(err, "rename "+name)
 	}
-	return syncFolder(j.folder)
+	return syncFolder(folder)
 }
 
 func syncFolder(folder string) error {
--- a/messenger/codec.go
+++ b/messenger/codec.go
@@ -43,13 +43,22 @@
 	return nil
 }
 
+// Encode returns the encoded form of v, which Decode reads.
+func Encode(v any) ([]byte, error) {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode message")
+	}
+	return b, nil
+}
+
 type codec struct{}
 
 // Marshal implements encoding.CodecV2.
 func (codec) Marshal(v any) (mem.BufferSlice, error) {
-	b, err := cbor.Marshal(v)
+	b, err := Encode(v)
 	if err != nil {
-		return nil, eris.Wrap(err, "encode message")
+		return nil, err
 	}
 	return mem.BufferSlice{mem.SliceBuffer(b)}, nil
 }
