diverter: what waits goes out with the view that it waited for

Cause: packets that an instance held while it was learning were decided about again only when another packet came. At 20 flows a second an entry that is 50 ms and more on top; an entry with no further traffic neither sent nor refused what it held.

Ruled out: a ticker that always runs; it costs wake-ups on instances that hold nothing.

Change: a goroutine of its own looks after what waits. It sleeps until something is held, is roused by a new view, and ticks only while something waits. The read loop only reads.

--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -17,9 +17,10 @@
 	"almondpick/steerer"
 )
 
-// Clock gives the time.
+// Clock gives the time and tickers.
 type Clock interface {
 	Now() time.Time
+	Ticker(d time.Duration) (<-chan time.Time, func())
 }
 
 // Codec reads and writes the packets of the fabric.
@@ -64,6 +65,8 @@
 	log      *slog.Logger
 	observer Observer
 	counters Counters
+	wake     chan struct{} // something waits, or there is a new view for what waits
+	done     chan struct{}
 	loops    sync.WaitGroup
 
 	mu      sync.Mutex
@@ -104,6 +107,7 @@
 	d := &Diverter{
 		conn: conn, codec: codec, clock: clock, start: start,
 		log: slog.New(slog.DiscardHandler), observer: noObserver{},
+		wake: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(d)
@@ -114,17 +118,22 @@
 	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
 		d.log.Warn("receive-buffer-unchanged", "error", err)
 	}
-	d.loops.Add(1)
+	d.loops.Add(2)
 	go d.run()
+	go d.attend()
 	return d, nil
 }
 
 // SetView puts a new picture of configuration and targets into use.
 func (d *Diverter) SetView(v *steerer.View) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.steerer.SetView(v)
 	d.version = v.Version
+	waits := d.holder.hurry()
+	d.mu.Unlock()
+	if waits {
+		d.rouse()
+	}
 }
 
 // Counters returns the counters of the door.
@@ -140,6 +149,7 @@
 // Close ends the loop and waits for it.
 func (d *Diverter) Close() error {
 	err := d.conn.Close()
+	close(d.done)
 	d.loops.Wait()
 	return err
 }
@@ -159,12 +169,60 @@
 			continue
 		}
 		d.counters.Received.Add(1)
-		now := d.clock.Now().Sub(d.start)
-		d.packet(now, buffer[:room+n], 0)
-		d.replay(now)
+		d.packet(d.now(), buffer[:room+n], 0)
+	}
+}
+
+func (d *Diverter) now() time.Duration {
+	return d.clock.Now().Sub(d.start)
+}
+
+// rouse has what waits decided about again.
+func (d *Diverter) rouse() {
+	select {
+	case d.wake <- struct{}{}:
+	default: // it will be anyway
+	}
+}
+
+// attend looks after packets that wait: it sleeps until there are any.
+func (d *Diverter) attend() {
+	defer d.loops.Done()
+	for {
+		select {
+		case <-d.done:
+			return
+		case <-d.wake:
+		}
+		if !d.replayAll() {
+			return
+		}
 	}
 }
 
+// replayAll decides about packets that wait until none does. It is false when the door
+// has closed.
+func (d *Diverter) replayAll() bool {
+	ticks, stop := d.clock.Ticker(replayEvery)
+	defer stop()
+	for d.waits() {
+		d.replay(d.now())
+		select {
+		case <-d.done:
+			return false
+		case <-d.wake:
+		case <-ticks:
+		}
+	}
+	return true
+}
+
+func (d *Diverter) waits() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.holder.waiting) > 0
+}
+
 // replay decides again about packets that wait.
 func (d *Diverter) replay(now time.Duration) {
 	d.mu.Lock()
@@ -226,6 +284,9 @@
 	if v.Action == steerer.Hold && !fresh {
 		return steerer.Hold
 	}
+	if v.Action == steerer.Hold {
+		d.rouse()
+	}
 	d.observer.Decided(v)
 	d.carryOut(b, p, v)
 	if v.Reason != steerer.ByLabel {
--- a/diverter/held.go
+++ b/diverter/held.go
@@ -72,6 +72,12 @@
 	return due, expired
 }
 
+// hurry makes all that waits due at once. It is false when nothing does.
+func (h *holder) hurry() bool {
+	h.next = 0
+	return len(h.waiting) > 0
+}
+
 // keep puts back a packet that still has to wait.
 func (h *holder) keep(o held) {
 	h.waiting = append(h.waiting, o)
