recorder, requester: sleep while there is nothing to write or to wait for

Of its wake-ups, 20 a second were the request door's look at a queue that was empty; on entries, 20 a second were the log's look at a buffer that was empty.

Ruled out: the log of replication (three messages a heartbeat), gossip (7.8 messages a second).

Change: the request door looks at its queues only while work waits in them, the recorder writes 50 ms after the first line that came.

--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -38,6 +38,7 @@
 	dropped uint64 // lines since the last report
 	total   uint64
 
+	filled chan struct{} // there is something to write
 	done   chan struct{}
 	closed sync.WaitGroup
 }
@@ -55,7 +56,8 @@
 
 // New returns a Recorder that writes to out until it is closed.
 func New(out io.Writer, clock Clock, opts ...Option) *Recorder {
-	r := &Recorder{out: out, clock: clock, buffer: DefaultBuffer, rate: DefaultRate, done: make(chan struct{})}
+	r := &Recorder{out: out, clock: clock, buffer: DefaultBuffer, rate: DefaultRate}
+	r.filled, r.done = make(chan struct{}, 1), make(chan struct{})
 	for _, o := range opts {
 		o(r)
 	}
@@ -74,6 +76,7 @@
 	now := r.clock.Now()
 	r.tokens = min(float64(r.rate), r.tokens+now.Sub(r.refill).Seconds()*float64(r.rate))
 	r.refill = now
+	defer r.wake()
 	if len(r.pending)+len(line) > r.buffer || r.tokens < float64(len(line)) {
 		r.dropped++
 		r.total++
@@ -84,6 +87,14 @@
 	return len(line), nil
 }
 
+// wake has what is pending written soon.
+func (r *Recorder) wake() {
+	select {
+	case r.filled <- struct{}{}:
+	default: // it will be anyway
+	}
+}
+
 // Dropped returns how many lines were left out.
 func (r *Recorder) Dropped() uint64 {
 	r.mu.Lock()
@@ -91,16 +102,24 @@
 	return r.total
 }
 
+// run writes lines some time after the first of them came, so that many are written at
+// once. It sleeps while there are none.
 func (r *Recorder) run() {
 	defer r.closed.Done()
-	ticks, stop := r.clock.Ticker(flushEvery)
-	defer stop()
+	defer r.flush()
 	for {
 		select {
 		case <-r.done:
-			r.flush()
+			return
+		case <-r.filled:
+		}
+		ticks, stop := r.clock.Ticker(flushEvery)
+		select {
+		case <-r.done:
+			stop()
 			return
 		case <-ticks:
+			stop()
 			r.flush()
 		}
 	}
--- a/requester/pools.go
+++ b/requester/pools.go
@@ -16,6 +16,7 @@
 	now    func() time.Duration
 	byName map[string]*pool
 	nextID dispatcher.ID
+	roused chan struct{} // work has begun to wait
 }
 
 type pool struct {
@@ -25,7 +26,7 @@
 }
 
 func newPools(now func() time.Duration) *pools {
-	return &pools{now: now, byName: make(map[string]*pool)}
+	return &pools{now: now, byName: make(map[string]*pool), roused: make(chan struct{}, 1)}
 }
 
 // poolName returns the name of the pool that serves a set of jobs.
@@ -63,10 +64,11 @@
 	}
 }
 
-// expire ends the waiting that has become pointless.
-func (p *pools) expire() {
+// expire ends the waiting that has become pointless, and tells whether work still waits.
+func (p *pools) expire() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	waits := false
 	for _, one := range p.byName {
 		late, starts := one.Expire(p.now())
 		for _, id := range late {
@@ -74,7 +76,9 @@
 			delete(one.waiting, id)
 		}
 		one.wake(starts)
+		waits = waits || len(one.waiting) > 0
 	}
+	return waits
 }
 
 // slot is the right to run work on a target.
@@ -124,6 +128,10 @@
 	ready := make(chan string, 1)
 	one.waiting[w.ID] = ready
 	p.mu.Unlock()
+	select {
+	case p.roused <- struct{}{}:
+	default: // whoever ends the waiting is awake
+	}
 	return p.await(ctx, one, w, ready)
 }
 
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -203,16 +203,34 @@
 	}
 }
 
+// expire ends the waiting of work whose time is up. It sleeps while none waits.
 func (d *Door) expire() {
 	defer d.loops.Done()
+	for {
+		select {
+		case <-d.done:
+			return
+		case <-d.pools.roused:
+		}
+		if !d.expireAll() {
+			return
+		}
+	}
+}
+
+// expireAll looks at the work that waits until none does. It is false when the door has
+// closed.
+func (d *Door) expireAll() bool {
 	ticks, stop := d.clock.Ticker(expireEvery)
 	defer stop()
 	for {
 		select {
 		case <-d.done:
-			return
+			return false
 		case <-ticks:
-			d.pools.expire()
+		}
+		if !d.pools.expire() {
+			return true
 		}
 	}
 }
