controller: records of a store that is learning itself are not all there are

From its logs: eight entries read the records of core-a-1 (10.1.0.25) 5 ms after it had started with an empty disk, took its few records for all and counted as caught up; flows then waited with reason no-target (95 in 0.6 s) and packets of open flows with unknown-label. An entry that became ready in that state would refuse callers although targets are there.

Ruled out: the targets kept on disk (the other three stores had read theirs).

Change: a store that has neither read another one's records nor its own cache, and has not run for three seconds since its start or its last isolation, says that it is learning. Whoever reads its records takes them in, waits 100 ms and asks another store. Tests for both sides of it.

--- a/controller/cache.go
+++ b/controller/cache.go
@@ -28,6 +28,7 @@
 	saved  uint64 // revision of the registry that was last saved
 	next   time.Duration
 	saving bool
+	loaded bool // what was known before the restart has been read
 }
 
 // savedTargets is the content of the cache.
@@ -66,6 +67,7 @@
 	c.gossip.TakeAll(c.now(), s.Records)
 	c.learnTargets(c.now())
 	c.cache.saved = c.registry.Revision()
+	c.cache.loaded = true
 	c.log.Info("target-cache-read", "age", age, "records", len(s.Records))
 }
 
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -162,7 +162,7 @@
 		}
 	}
 	if c.set.Electorate > 0 {
-		return c.nearestStore()
+		return c.nearestStore("")
 	}
 	for _, name := range c.machine.Config().Voters {
 		if m, ok := c.gossip.Member(name); ok && m.Alive() {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -108,21 +108,25 @@
 	synced   bool     // holds what a store knew after the start or the last isolation
 	syncing  bool
 	syncAt   time.Duration // not to be read again before, after a failure
-	ticked   time.Duration
-	reading  bool          // a read that confirms the configuration is under way
-	readAt   time.Duration // not to be tried again before, after a failure
-	commands []keptCommand
-	packed   packedState
-	cache    targetCache
-	fetching bool
-	ready    bool
-	confirm  bool
-	leaving  bool
-	cutSince time.Time
-	fitSince map[string]fitState
-	ranks    map[string]memberRank // of members, as they were last logged
-	nextSlow time.Duration
-	seen     revisions
+	// heardAllAt is when every target will have announced itself since the start or the
+	// last isolation.
+	heardAllAt time.Duration
+	learning   string // peer door of a store that was learning itself when it was read
+	ticked     time.Duration
+	reading    bool          // a read that confirms the configuration is under way
+	readAt     time.Duration // not to be tried again before, after a failure
+	commands   []keptCommand
+	packed     packedState
+	cache      targetCache
+	fetching   bool
+	ready      bool
+	confirm    bool
+	leaving    bool
+	cutSince   time.Time
+	fitSince   map[string]fitState
+	ranks      map[string]memberRank // of members, as they were last logged
+	nextSlow   time.Duration
+	seen       revisions
 
 	calls  chan func()
 	done   chan struct{}
@@ -186,6 +190,8 @@
 		ranks:     make(map[string]memberRank),
 		calls:     make(chan func(), queuedCalls),
 		done:      make(chan struct{}),
+
+		heardAllAt: readyAnyway,
 	}
 	for _, o := range opts {
 		o(c)
--- a/controller/electorate.go
+++ b/controller/electorate.go
@@ -174,14 +174,16 @@
 }
 
 // nearestStore returns the peer door of a live instance with a disk, of this data
-// centre if there is one. Those know who leads.
-func (c *Controller) nearestStore() (string, bool) {
+// centre if there is one, and not the one to avoid if there is another. Those know who
+// leads.
+func (c *Controller) nearestStore(avoid string) (string, bool) {
 	best := ""
 	for _, m := range c.gossip.Members() {
 		if !m.Alive() || m.VoterID == "" {
 			continue
 		}
-		if best == "" || m.DataCentre == c.set.Self.DataCentre {
+		near := m.DataCentre == c.set.Self.DataCentre && m.RPC != avoid
+		if best == "" || best == avoid || near {
 			best = m.RPC
 		}
 	}
@@ -213,7 +215,7 @@
 // noteCut logs when the last instance with a disk is lost from sight, and when one is
 // in sight again.
 func (c *Controller) noteCut() {
-	_, reachable := c.nearestStore()
+	_, reachable := c.nearestStore("")
 	switch {
 	case reachable && !c.cutSince.IsZero():
 		c.log.Info("stores-regained", "lost-for", c.clock.Now().Sub(c.cutSince))
--- a/controller/sync.go
+++ b/controller/sync.go
@@ -32,17 +32,20 @@
 	silent := now - c.gossip.LastContact()
 	if c.synced && (stood >= isolatedAfter || silent >= isolatedAfter) {
 		c.synced = false
+		c.cache.loaded = false
+		c.heardAllAt = now + readyAnyway
 		c.log.Warn("isolated", "stood-still", stood, "silence", silent)
 	}
 }
 
 // catchUp reads all records from the nearest store, once it is in reach after a start or
-// an isolation.
+// an isolation. A store that is learning itself does not do: after a restart of
+// everything it may know less than this instance.
 func (c *Controller) catchUp(now time.Duration) {
 	if c.synced || c.syncing || now < c.syncAt || now-c.gossip.LastContact() >= isolatedAfter {
 		return
 	}
-	from, ok := c.nearestStore()
+	from, ok := c.nearestStore(c.learning)
 	if !ok {
 		return
 	}
@@ -56,20 +59,44 @@
 				c.log.Warn("catch-up-failed", "from", from, "error", err)
 				return
 			}
-			c.gossip.TakeAll(c.now(), reply.Records)
-			c.learnTargets(c.now())
-			c.synced = true
-			c.log.Info("caught-up", "from", from, "records", len(reply.Records))
-			c.learnOn(c.now())
+			c.takeRecords(from, reply)
 		}
 	})
 }
 
+// takeRecords takes in what a store knows. One that is learning is passed over the next
+// time if there is another.
+func (c *Controller) takeRecords(from string, reply *messenger.RecordsReply) {
+	c.gossip.TakeAll(c.now(), reply.Records)
+	c.learnTargets(c.now())
+	if reply.Learning {
+		c.learning = from
+		c.syncAt = c.now() + retryEvery
+		c.log.Info("caught-up-in-part", "from", from, "records", len(reply.Records))
+		return
+	}
+	c.synced = true
+	c.learning = ""
+	c.log.Info("caught-up", "from", from, "records", len(reply.Records))
+	c.learnOn(c.now())
+}
+
+// informed tells whether this instance knows the targets: it has read what another one
+// knew, or what it knew itself before a restart, or has run for so long that all have
+// announced themselves.
+func (c *Controller) informed() bool {
+	return c.synced || c.cache.loaded || c.now() >= c.heardAllAt
+}
+
 // Records returns all that this instance knows of instances and targets. It returns a
 // *ClosedError.
 func (c *Controller) Records(ctx context.Context) (*messenger.RecordsReply, error) {
 	reply := &messenger.RecordsReply{}
-	if !c.do(ctx, func() { reply.Records = c.gossip.All() }) {
+	ok := c.do(ctx, func() {
+		reply.Records = c.gossip.All()
+		reply.Learning = !c.informed()
+	})
+	if !ok {
 		return nil, &ClosedError{}
 	}
 	return reply, nil
--- a/controller/sync_test.go
+++ b/controller/sync_test.go
@@ -45,3 +45,67 @@
 	w.stop(t, 2)
 	is.NoErr(entry.Close())
 }
+
+// A store with an empty disk has just started too. An entry that reads its records does
+// not take them for all there are, and turns to another store.
+func TestAStoreThatIsLearningItselfIsNotEnough(t *testing.T) {
+	is := is.New(t)
+	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
+	is.NoErr(err)
+	w := &wires{keys: keys, members: make(map[string]*Controller)}
+	empty := w.start(t, 0, t.TempDir(), false) // nobody else is there yet
+	reply, err := empty.Records(context.Background())
+	is.NoErr(err)
+	is.True(reply.Learning)
+	for n := 1; n < 3; n++ {
+		w.start(t, n, t.TempDir(), false)
+	}
+	c := w.at(peerOf(2))
+	eventually(t, "all know each other", func() bool {
+		met := 0
+		c.do(context.Background(), func() {
+			for _, m := range c.gossip.Members() {
+				if m.VoterID != "" {
+					met++
+				}
+			}
+		})
+		return met == 2
+	})
+	c.do(context.Background(), func() {
+		c.synced = false
+		first, _ := c.nearestStore("")
+		c.takeRecords(first, &messenger.RecordsReply{Learning: true})
+		is.True(!c.synced)
+		second, ok := c.nearestStore(c.learning)
+		is.True(ok)
+		is.True(second != first)
+		c.takeRecords(second, &messenger.RecordsReply{})
+		is.True(c.synced)
+	})
+	eventually(t, "the empty store has waited for all targets", func() bool {
+		reply, err := empty.Records(context.Background())
+		return err == nil && !reply.Learning
+	})
+	for n := range 3 {
+		w.stop(t, n)
+	}
+}
+
+// A store that stood still may have missed what the others know.
+func TestAStoreThatStoodStillIsLearningAgain(t *testing.T) {
+	is := is.New(t)
+	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
+	is.NoErr(err)
+	w := &wires{keys: keys, members: make(map[string]*Controller)}
+	c := w.start(t, 0, t.TempDir(), true)
+	c.do(context.Background(), func() {
+		now := c.now() + time.Hour
+		c.synced, c.ticked = true, now-time.Minute
+		c.heardAllAt = 0
+		is.True(c.informed())
+		c.noteIsolation(now)
+		is.True(!c.informed())
+	})
+	w.stop(t, 0)
+}
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -38,6 +38,8 @@
 // RecordsReply holds all that the sender knows of instances and targets.
 type RecordsReply struct {
 	Records []gossiper.Record `cbor:"records"`
+	// Learning says that the sender has itself just started and may miss some.
+	Learning bool `cbor:"learning,omitempty"`
 }
 
 // Validate checks every record.
