--- a/controller/sync.go
+++ b/controller/sync.go
@@ -64,15 +64,18 @@
 	})
 }
 
-// takeRecords takes in what a store knows. One that is learning is passed over the next
-// time if there is another.
+// takeRecords takes in what a store knows. When that one is learning another is asked at
+// once, if there is one.
 func (c *Controller) takeRecords(from string, reply *messenger.RecordsReply) {
 	c.gossip.TakeAll(c.now(), reply.Records)
 	c.learnTargets(c.now())
 	if reply.Learning {
-		c.learning = from
-		c.syncAt = c.now() + retryEvery
 		c.log.Info("caught-up-in-part", "from", from, "records", len(reply.Records))
+		if c.learning != "" {
+			c.syncAt = c.now() + retryEvery
+		}
+		c.learning = from
+		c.learnOn(c.now())
 		return
 	}
 	c.synced = true
