--- a/cmd/almondpick/node.go
+++ b/cmd/almondpick/node.go
@@ -18,9 +18,11 @@
 
 	"almondpick/configurer"
 	"almondpick/controller"
+	"almondpick/journaler"
 	"almondpick/platform"
 	"almondpick/recorder"
 	"almondpick/server"
+	"almondpick/soaker"
 )
 
 // settingsPoll is how often the settings file is looked at for changes that no signal
@@ -35,6 +37,8 @@
 	logLevel string
 	metrics  string
 	listen   string
+	offset   time.Duration
+	disk     string
 }
 
 // Name implements subcommands.Command.
@@ -53,11 +57,14 @@
 	f.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error")
 	f.StringVar(&c.listen, "peer-listen", "", "IP:port that the peer door listens at, where it is not the one that others reach")
 	f.StringVar(&c.metrics, "metrics-port", "", "port for metrics at the instance's address")
+	f.DurationVar(&c.offset, "clock-offset", 0, "how far the time of day is off, for a soak")
+	f.StringVar(&c.disk, "disk-fault", "", "file that says what is wrong with the disk, for a soak")
 }
 
 // Execute implements subcommands.Command.
 func (c *nodeCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	lines := recorder.New(os.Stdout, systemClock{})
+	clock := systemClock{offset: c.offset}
+	lines := recorder.New(os.Stdout, clock)
 	defer func() {
 		_ = lines.Close() // it has no error to tell of
 	}()
@@ -74,8 +81,8 @@
 	if at, err := netip.ParseAddrPort(set.FlowAddress); err == nil {
 		codec.CallerPort = at.Port()
 	}
-	api := func(c *controller.Controller) http.Handler { return platform.NewAPI(c, systemClock{}, log) }
-	n, err := server.StartNode(set, systemClock{}, log, codec, api, platform.ReadyHandler)
+	api := func(c *controller.Controller) http.Handler { return platform.NewAPI(c, clock, log) }
+	n, err := server.StartNode(set, clock, log, codec, api, platform.ReadyHandler, c.options()...)
 	if err != nil {
 		log.Error("start-failed", "error", err)
 		return subcommands.ExitFailure
@@ -90,6 +97,15 @@
 	return subcommands.ExitSuccess
 }
 
+// options returns what a soak makes of the instance.
+func (c *nodeCommand) options() []server.NodeOption {
+	if c.disk == "" {
+		return nil
+	}
+	disk := soaker.NewDisk(c.disk)
+	return []server.NodeOption{server.WithControl(controller.WithJournal(journaler.WithFile(disk.Wrap)))}
+}
+
 // watch puts changed settings into use, with or without a signal, until the instance
 // is asked to stop.
 func (c *nodeCommand) watch(n *server.Node, set configurer.Node, signals <-chan os.Signal, log *slog.Logger) {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -92,6 +92,7 @@
 	keys      messenger.Keys
 	log       *slog.Logger
 	onWorld   func(World)
+	disk      []journaler.Option
 
 	gossip   *gossiper.Gossiper
 	registry *announcer.Registry
@@ -172,6 +173,11 @@
 	return func(c *Controller) { c.onWorld = f }
 }
 
+// WithJournal sets how the data folder is opened.
+func WithJournal(opts ...journaler.Option) Option {
+	return func(c *Controller) { c.disk = opts }
+}
+
 // New starts the control goroutine of an instance. It returns the error of the
 // data folder, such as a *journaler.DamageError.
 func New(set Settings, clock Clock, t Transport, keys messenger.Keys, opts ...Option) (*Controller, error) {
--- a/controller/log.go
+++ b/controller/log.go
@@ -15,7 +15,7 @@
 // openJournal reads the data folder and starts the voter from it.
 func (c *Controller) openJournal(identity string) error {
 	began := c.now()
-	j, state, err := journaler.Open(c.set.DataFolder, journaler.WithIdentity(identity))
+	j, state, err := journaler.Open(c.set.DataFolder, append(slices.Clone(c.disk), journaler.WithIdentity(identity))...)
 	if err != nil {
 		return err
 	}
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -54,8 +54,8 @@
 	Entries  []voter.Entry
 }
 
-// file is what a Journal writes to. A test replaces it to fail.
-type file interface {
+// File is what a Journal writes to.
+type File interface {
 	io.Writer
 	Sync() error
 	Close() error
@@ -64,18 +64,19 @@
 // Journal appends to the log of one data folder. It belongs to one goroutine.
 type Journal struct {
 	folder string
-	log    file
+	log    File
 	failed error
 	size   int64
-	wrap   func(file) file
+	wrap   func(File) File
 	first  string
 }
 
 // Option sets a property of a Journal.
 type Option func(*Journal)
 
-// withFile has every log file replaced by what wrap returns for it.
-func withFile(wrap func(file) file) Option {
+// WithFile has every file of the log replaced by what wrap returns for it, such as one
+// that fails.
+func WithFile(wrap func(File) File) Option {
 	return func(j *Journal) { j.wrap = wrap }
 }
 
@@ -95,7 +96,7 @@
 // and a journal that goes on from there. It returns a *DamageError when the
 // content does not hold together.
 func Open(folder string, opts ...Option) (*Journal, State, error) {
-	j := &Journal{folder: folder, wrap: func(f file) file { return f }}
+	j := &Journal{folder: folder, wrap: func(f File) File { return f }}
 	for _, o := range opts {
 		o(j)
 	}
@@ -361,7 +362,7 @@
 
 // replace replaces a file of the data folder as replaceFile does.
 func (j *Journal) replace(name string, content []byte) error {
-	return replaceFile(j.folder, name, content, func(path string) (file, error) {
+	return replaceFile(j.folder, name, content, func(path string) (File, error) {
 		f, err := openTemporary(path)
 		if err != nil {
 			return nil, err
@@ -370,13 +371,13 @@
 	})
 }
 
-func openTemporary(path string) (file, error) {
+func openTemporary(path string) (File, error) {
 	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 }
 
 // replaceFile writes a file beside the one of that name, syncs it and puts it in its
 // place.
-func replaceFile(folder, name string, content []byte, open func(path string) (file, error)) error {
+func replaceFile(folder, name string, content []byte, open func(path string) (File, error)) error {
 	path := filepath.Join(folder, name)
 	w, err := open(path + temporary)
 	if err != nil {
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -101,7 +101,7 @@
 
 // failing is a file that is full or cannot sync.
 type failing struct {
-	file
+	File
 	writes, syncs bool
 }
 
@@ -109,32 +109,32 @@
 	if f.writes {
 		return 0, errFull
 	}
-	return f.file.Write(b)
+	return f.File.Write(b)
 }
 
 func (f failing) Sync() error {
 	if f.syncs {
 		return errFull
 	}
-	return f.file.Sync()
+	return f.File.Sync()
 }
 
 func TestFailureStopsTheJournalForGood(t *testing.T) {
 	for _, bad := range []failing{{writes: true}, {syncs: true}} {
 		is := is.New(t)
 		broken := false
-		j, _, err := Open(t.TempDir(), withFile(func(f file) file {
+		j, _, err := Open(t.TempDir(), WithFile(func(f File) File {
 			if broken {
-				return failing{file: f, writes: bad.writes, syncs: bad.syncs}
+				return failing{File: f, writes: bad.writes, syncs: bad.syncs}
 			}
 			return f
 		}))
 		is.NoErr(err)
-		j.log = failing{file: j.log, writes: bad.writes, syncs: bad.syncs}
+		j.log = failing{File: j.log, writes: bad.writes, syncs: bad.syncs}
 		broken = true
 		var stopped *StoppedError
 		is.True(errors.As(j.Save(&voter.HardState{Term: 3}, nil), &stopped))
-		j.log = j.log.(failing).file // the disk works again, but what it holds is not known
+		j.log = j.log.(failing).File // the disk works again, but what it holds is not known
 		is.True(errors.As(j.Save(&voter.HardState{Term: 3}, nil), &stopped))
 		is.True(errors.Is(stopped, errFull))
 	}
@@ -167,7 +167,7 @@
 func TestIdentityComesAfterTheLog(t *testing.T) {
 	is := is.New(t)
 	folder := t.TempDir()
-	_, _, err := Open(folder, withFile(func(f file) file { return failing{file: f, syncs: true} }))
+	_, _, err := Open(folder, WithFile(func(f File) File { return failing{File: f, syncs: true} }))
 	is.True(err != nil)
 	_, err = os.Stat(filepath.Join(folder, LogFile))
 	is.NoErr(err)
--- a/server/node.go
+++ b/server/node.go
@@ -57,13 +57,26 @@
 	serving   sync.WaitGroup
 	world     atomic.Pointer[controller.World]
 	stopping  atomic.Bool
+	options   []controller.Option
+}
+
+// NodeOption sets a property of a Node.
+type NodeOption func(*Node)
+
+// WithControl passes options on to the controller.
+func WithControl(opts ...controller.Option) NodeOption {
+	return func(n *Node) { n.options = append(n.options, opts...) }
 }
 
 // StartNode starts an instance. The settings must have passed Validate. The error is
 // that of the first part that could not start.
-func StartNode(set configurer.Node, clock Clock, log *slog.Logger, codec diverter.Codec, api API, ready Ready) (*Node, error) {
+func StartNode(set configurer.Node, clock Clock, log *slog.Logger, codec diverter.Codec, api API, ready Ready, opts ...NodeOption) (*Node, error) {
 	log.Info("starting", "instance", set.Name)
 	n := &Node{set: set, clock: clock, start: clock.Now(), log: log, meter: meter.New(), transport: newTransport(nil, log)}
+	n.options = []controller.Option{controller.WithLogger(log), controller.WithWorlds(n.setWorld)}
+	for _, o := range opts {
+		o(n)
+	}
 	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
 	if err != nil {
 		return nil, err
@@ -93,8 +106,7 @@
 			return err
 		}
 	}
-	n.control, err = controller.New(n.controlSettings(), n.clock, n.transport, keys,
-		controller.WithLogger(n.log), controller.WithWorlds(n.setWorld))
+	n.control, err = controller.New(n.controlSettings(), n.clock, n.transport, keys, n.options...)
 	if err != nil {
 		return err
 	}
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -40,7 +40,7 @@
 	all := s.all()
 	i := all[s.random.IntN(len(all))]
 	d := time.Duration(1000+s.random.IntN(4000)) * time.Millisecond
-	switch s.random.IntN(12) {
+	switch s.random.IntN(14) {
 	case 0, 1:
 		s.put()
 	case 2:
@@ -65,6 +65,12 @@
 		s.wipe()
 	case 11:
 		s.unplanned(s.killStores)
+	case 12:
+		store, fault := s.stores[s.random.IntN(len(s.stores))], diskFaults[s.random.IntN(len(diskFaults))]
+		s.unplanned(func() { s.spoilDisk(store, fault, d) })
+	case 13:
+		offset := time.Duration(s.random.IntN(20)-10) * time.Second
+		s.unplanned(func() { s.stepClock(i, offset) })
 	}
 }
 
@@ -171,6 +177,35 @@
 	})
 }
 
+// spoilDisk makes the disk of a store refuse, stall or slow down for a while.
+func (s *Soak) spoilDisk(i *instance, fault string, d time.Duration) {
+	if !i.claim() {
+		return
+	}
+	defer i.release()
+	s.note("disk of %s: %s for %s", i.name, fault, d)
+	if err := os.WriteFile(i.diskFault(), []byte(fault), 0o600); err != nil {
+		s.log.Error("disk-not-spoilt", "instance", i.name, "error", err)
+	}
+	s.rest(d)
+	if err := os.Remove(i.diskFault()); err != nil {
+		s.log.Error("disk-not-mended", "instance", i.name, "error", err)
+	}
+}
+
+// stepClock restarts an instance with another time of day, which may be before the one
+// that it had.
+func (s *Soak) stepClock(i *instance, offset time.Duration) {
+	if !i.claim() {
+		return
+	}
+	defer i.release()
+	s.note("restart %s with its clock off by %s", i.name, offset)
+	i.stop(syscall.SIGKILL)
+	i.offset = offset
+	s.restart(i)
+}
+
 func (s *Soak) killStores() {
 	var taken []*instance
 	for _, i := range s.stores {
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -31,6 +31,7 @@
 	own    netip.Addr // where it listens itself
 	folder string
 	proxy  *proxy
+	offset time.Duration // of its time of day, from the next start on
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -61,6 +62,9 @@
 	return os.WriteFile(filepath.Join(i.folder, "node.yaml"), b, 0o600)
 }
 
+// diskFault returns the file that says what is wrong with the disk.
+func (i *instance) diskFault() string { return filepath.Join(i.folder, "disk-fault") }
+
 // peerListen returns where the peer door listens, behind the proxy.
 func (i *instance) peerListen() netip.AddrPort {
 	if i.store {
@@ -76,7 +80,8 @@
 		return err
 	}
 	//nolint:gosec // the program is the one that plays the soak
-	cmd := exec.Command(program, "node", "-peer-listen", i.peerListen().String())
+	cmd := exec.Command(program, "node", "-peer-listen", i.peerListen().String(),
+		"-clock-offset", i.offset.String(), "-disk-fault", i.diskFault())
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+filepath.Join(i.folder, "node.yaml"))
 	cmd.Stdout, cmd.Stderr = log, log
 	// The process has the file open itself once it has started.
