--- a/controller/cache_test.go
+++ b/controller/cache_test.go
@@ -38,9 +38,7 @@
 // learns from the others.
 func TestTargetsOutliveARestartOfAllStores(t *testing.T) {
 	is := is.New(t)
-	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
-	is.NoErr(err)
-	w := &wires{keys: keys, members: make(map[string]*Controller)}
+	w := newWires(t)
 	folders := []string{t.TempDir(), t.TempDir(), t.TempDir()}
 	for n := range 3 {
 		w.start(t, n, folders[n], true)
--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -25,6 +25,16 @@
 	return t.C, t.Stop
 }
 
+// newWires returns wires without controllers.
+func newWires(t *testing.T) *wires {
+	t.Helper()
+	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &wires{keys: keys, members: make(map[string]*Controller)}
+}
+
 // wires connects controllers in one process.
 type wires struct {
 	mu      sync.Mutex
@@ -90,15 +100,21 @@
 func peerOf(n int) string { return fmt.Sprintf("10.0.0.%d:7000", n+1) }
 
 // start starts the store with a number; first says that the deployment begins.
-func (w *wires) start(t *testing.T, n int, folder string, first bool) *Controller {
+func (w *wires) start(t *testing.T, n int, folder string, first bool, opts ...Option) *Controller {
+	t.Helper()
+	return w.startWith(t, n, folder, first, wallClock{}, []string{peerOf(0), peerOf(1), peerOf(2)}, opts...)
+}
+
+// startWith starts a store with a clock and seeds of its own.
+func (w *wires) startWith(t *testing.T, n int, folder string, first bool, clock Clock, seeds []string, opts ...Option) *Controller {
 	t.Helper()
 	name := fmt.Sprintf("10.0.0.%d", n+1)
 	c, err := New(Settings{
 		Self:  gossiper.Instance{Name: name, DataCentre: fmt.Sprintf("dc%d", n), Peer: peerOf(n), RPC: peerOf(n), Operator: "x"},
-		Seeds: []string{peerOf(0), peerOf(1), peerOf(2)}, Voters: []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"},
+		Seeds: seeds, Voters: []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"},
 		DataFolder: folder, FirstStart: first, Heartbeat: 50 * time.Millisecond, Election: 200 * time.Millisecond,
 		Electorate: 3, Labels: true,
-	}, wallClock{}, end{wires: w, self: peerOf(n)}, w.keys)
+	}, clock, end{wires: w, self: peerOf(n)}, w.keys, opts...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -166,9 +182,7 @@
 // are three live disks again.
 func TestStoresThroughLosses(t *testing.T) {
 	is := is.New(t)
-	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
-	is.NoErr(err)
-	w := &wires{keys: keys, members: make(map[string]*Controller)}
+	w := newWires(t)
 	folders := []string{t.TempDir(), t.TempDir(), t.TempDir(), t.TempDir()}
 	for n := range 3 {
 		w.start(t, n, folders[n], true)
@@ -219,10 +233,7 @@
 // A store whose disk refuses writes speaks of nothing that is not durable, and takes part
 // again once the disk works.
 func TestAStoreComesBackFromAFailedDisk(t *testing.T) {
-	is := is.New(t)
-	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
-	is.NoErr(err)
-	w := &wires{keys: keys, members: make(map[string]*Controller)}
+	w := newWires(t)
 	for n := range 3 {
 		w.start(t, n, t.TempDir(), true)
 	}
--- a/controller/sync_test.go
+++ b/controller/sync_test.go
@@ -20,9 +20,7 @@
 // step of it waits for a tick.
 func TestAnEntryIsReadyAsSoonAsItHasLearnt(t *testing.T) {
 	is := is.New(t)
-	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
-	is.NoErr(err)
-	w := &wires{keys: keys, members: make(map[string]*Controller)}
+	w := newWires(t)
 	for n := range 3 {
 		w.start(t, n, t.TempDir(), true)
 	}
@@ -31,7 +29,7 @@
 
 	self := gossiper.Instance{Name: "10.0.0.9", DataCentre: "dc0", Peer: "10.0.0.9:7000", RPC: "10.0.0.9:7000"}
 	seeds := []string{peerOf(0), peerOf(1), peerOf(2)}
-	entry, err := New(Settings{Self: self, Seeds: seeds, Electorate: 3, Labels: true}, noTicks{}, end{wires: w, self: self.Peer}, keys)
+	entry, err := New(Settings{Self: self, Seeds: seeds, Electorate: 3, Labels: true}, noTicks{}, end{wires: w, self: self.Peer}, w.keys)
 	is.NoErr(err)
 	w.mu.Lock()
 	w.members[self.Peer] = entry
@@ -50,9 +48,7 @@
 // not take them for all there are, and turns to another store.
 func TestAStoreThatIsLearningItselfIsNotEnough(t *testing.T) {
 	is := is.New(t)
-	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
-	is.NoErr(err)
-	w := &wires{keys: keys, members: make(map[string]*Controller)}
+	w := newWires(t)
 	empty := w.start(t, 0, t.TempDir(), false) // nobody else is there yet
 	reply, err := empty.Records(context.Background())
 	is.NoErr(err)
@@ -95,9 +91,7 @@
 // A store that stood still may have missed what the others know.
 func TestAStoreThatStoodStillIsLearningAgain(t *testing.T) {
 	is := is.New(t)
-	keys, err := messenger.NewKeys(make([]byte, messenger.GroupKeySize))
-	is.NoErr(err)
-	w := &wires{keys: keys, members: make(map[string]*Controller)}
+	w := newWires(t)
 	c := w.start(t, 0, t.TempDir(), true)
 	c.do(context.Background(), func() {
 		now := c.now() + time.Hour
