steerer: callers find their way around a cut between data centres sooner

Change: a target that goes on answering nobody is passed over for 2, 4 and then 8 seconds, and as before once it has answered; a flow that leaves a target of another data centre is not sent to a second one there while there are others.

--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -102,7 +102,9 @@
 	// openWithin is how long a flow that has not opened counts as load. The caller may
 	// have given up, or the target may not take it in.
 	openWithin = 100 * time.Millisecond
-	silentFor  = 2 * time.Second // how long a target without answers is passed over
+	silentFor  = 2 * time.Second // how long a target without answers is passed over at first
+	// silentDoublings is how often that time doubles while it goes on answering nobody.
+	silentDoublings = 2
 )
 
 // waitShare is the part of a route's timeout, as a divisor, that a caller waits here at
@@ -301,10 +303,13 @@
 	if before != nil && now-before.at < openingMemory && !s.silent(now, before) {
 		return Verdict{Action: Forward, Reason: CopyKept, Target: before.target.target, Route: route}
 	}
-	reason := Placed
+	reason, away := Placed, ""
 	if before != nil && now-before.at < openingMemory {
 		reason = CopyMoved
-		before.target.silentUntil = now + silentFor
+		before.target.passOver(now)
+		if dc := before.target.target.DataCentre; dc != s.view.DataCentre {
+			away = dc
+		}
 	}
 	if before != nil {
 		before.setBusy(false)
@@ -313,7 +318,7 @@
 	if p.Waited > route.Timeout/waitShare {
 		return Verdict{Action: Reset, Reason: HeldTooLong, Route: route}
 	}
-	st := s.place(now, route)
+	st := s.place(now, route, away)
 	if st == nil {
 		return Verdict{Action: s.unknown(Reset), Reason: NoTarget, Route: route}
 	}
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -267,3 +267,41 @@
 		}
 	}
 }
+
+// The path to another data centre is cut: a flow that got no answer from there does not
+// try another target of it while there are others.
+func TestACopyLeavesADataCentreThatDoesNotAnswer(t *testing.T) {
+	is := is.New(t)
+	s := started(view(1, target(1, "menus"), target(2, "menus", in("dc2")), target(3, "menus", in("dc2"))))
+	for n := range 3 {
+		is.Equal(s.Packet(0, opening(n, menu, 0)).Action, Forward)
+	}
+	var far int
+	for n := range 3 {
+		if s.flows[flow(n, menu)].target.target.DataCentre == "dc2" {
+			far = n
+		}
+	}
+	is.Equal(s.flows[flow(far, menu)].target.target.DataCentre, "dc2") // one of them went there
+	got := s.Packet(200*time.Millisecond, opening(far, menu, 1))
+	is.Equal(got.Reason, CopyMoved)
+	is.Equal(got.Target.DataCentre, "dc1")
+}
+
+// A target that goes on answering nobody is tried less and less often, and as before once
+// it has answered.
+func TestASilentTargetIsTriedLessAndLessOften(t *testing.T) {
+	is := is.New(t)
+	st := &state{}
+	now := time.Second
+	for _, pause := range []time.Duration{silentFor, 2 * silentFor, 4 * silentFor, 4 * silentFor} {
+		st.passOver(now)
+		st.passOver(now + time.Millisecond) // another flow that was placed before
+		is.Equal(st.silentUntil, now+pause)
+		now = st.silentUntil
+	}
+	st.answered(now+time.Second, now+time.Second)
+	is.Equal(st.silentUntil, time.Duration(0))
+	st.passOver(now + 2*time.Second)
+	is.Equal(st.silentUntil, now+2*time.Second+silentFor)
+}
