steerer: a data centre that answers nobody is passed over as a whole

Change: what is remembered of a target that answers nobody is remembered of another data centre too. When a flow got no answer and no target of that data centre has answered anybody here since, all its targets are passed over, for 2, 4 and then 8 seconds, and as before once one has answered. Tests: one silent flow spares the others; a silent target among answering ones is passed over alone.

--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -102,9 +102,6 @@
 	// openWithin is how long a flow that has not opened counts as load. The caller may
 	// have given up, or the target may not take it in.
 	openWithin = 100 * time.Millisecond
-	silentFor  = 2 * time.Second // how long a target without answers is passed over at first
-	// silentDoublings is how often that time doubles while it goes on answering nobody.
-	silentDoublings = 2
 )
 
 // waitShare is the part of a route's timeout, as a divisor, that a caller waits here at
@@ -133,7 +130,8 @@
 	view      *View
 	random    *rand.Rand
 	flows     map[Flow]*opened
-	states    map[uint64]*state // by identity
+	states    map[uint64]*state   // by identity
+	centres   map[string]*contact // by data centre, other than this instance's own
 	allowed   map[poolUse]bool
 	usual     usual
 	nextSweep time.Duration
@@ -165,6 +163,7 @@
 		view:    NewView(0, "", nil, nil),
 		flows:   make(map[Flow]*opened),
 		states:  make(map[uint64]*state),
+		centres: make(map[string]*contact),
 		allowed: make(map[poolUse]bool),
 		usual:   newUsual(),
 		ended:   func(*Route, time.Duration) {},
@@ -234,7 +233,7 @@
 		f.ack, f.first = p.Ack, p.Ack
 		f.until = now + f.route.Timeout
 		f.setBusy(true)
-		f.target.answered(now, f.at)
+		s.answered(now, f)
 	}
 	if f.asked && p.Ack != f.ack && f.askedAt > 0 {
 		s.began(now, f.target, now-f.askedAt)
@@ -303,13 +302,10 @@
 	if before != nil && now-before.at < openingMemory && !s.silent(now, before) {
 		return Verdict{Action: Forward, Reason: CopyKept, Target: before.target.target, Route: route}
 	}
-	reason, away := Placed, ""
+	reason := Placed
 	if before != nil && now-before.at < openingMemory {
 		reason = CopyMoved
-		before.target.passOver(now)
-		if dc := before.target.target.DataCentre; dc != s.view.DataCentre {
-			away = dc
-		}
+		s.unanswered(now, before)
 	}
 	if before != nil {
 		before.setBusy(false)
@@ -318,7 +314,7 @@
 	if p.Waited > route.Timeout/waitShare {
 		return Verdict{Action: Reset, Reason: HeldTooLong, Route: route}
 	}
-	st := s.place(now, route, away)
+	st := s.place(now, route)
 	if st == nil {
 		return Verdict{Action: s.unknown(Reset), Reason: NoTarget, Route: route}
 	}
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -268,40 +268,48 @@
 	}
 }
 
-// The path to another data centre is cut: a flow that got no answer from there does not
-// try another target of it while there are others.
-func TestACopyLeavesADataCentreThatDoesNotAnswer(t *testing.T) {
+// The path to another data centre is cut: one flow that gets no answer from there shows
+// it, and the others are spared its other targets.
+func TestADataCentreThatDoesNotAnswerIsPassedOver(t *testing.T) {
 	is := is.New(t)
-	s := started(view(1, target(1, "menus"), target(2, "menus", in("dc2")), target(3, "menus", in("dc2"))))
-	for n := range 3 {
-		is.Equal(s.Packet(0, opening(n, menu, 0)).Action, Forward)
-	}
-	var far int
-	for n := range 3 {
-		if s.flows[flow(n, menu)].target.target.DataCentre == "dc2" {
-			far = n
-		}
-	}
-	is.Equal(s.flows[flow(far, menu)].target.target.DataCentre, "dc2") // one of them went there
-	got := s.Packet(200*time.Millisecond, opening(far, menu, 1))
+	far := func(t *Target) { t.DataCentre, t.Slots = "dc2", 100 }
+	s := started(view(1, target(1, "menus"), target(2, "menus", far), target(3, "menus", far)))
+	first := s.Packet(0, opening(0, menu, 0))
+	is.Equal(first.Target.DataCentre, "dc2")
+	got := s.Packet(200*time.Millisecond, opening(0, menu, 1))
 	is.Equal(got.Reason, CopyMoved)
-	is.Equal(got.Target.DataCentre, "dc1")
+	for n := 1; n < 6; n++ {
+		is.Equal(s.Packet(200*time.Millisecond, opening(n, menu, 0)).Target.DataCentre, "dc1")
+	}
+	is.Equal(s.Packet(200*time.Millisecond+silentFor, opening(9, menu, 0)).Target.DataCentre, "dc2")
+}
+
+// One silent target of a data centre whose other targets answer is passed over alone.
+func TestASilentTargetAmongOthersIsPassedOverAlone(t *testing.T) {
+	is := is.New(t)
+	far := func(t *Target) { t.DataCentre, t.Slots = "dc2", 100 }
+	s := started(view(1, target(1, "menus"), target(2, "menus", far), target(3, "menus", far)))
+	dead := s.Packet(0, opening(0, menu, 0)).Target
+	other := s.Packet(0, opening(1, menu, 0)).Target
+	is.True(dead != other)
+	s.Packet(time.Millisecond, Packet{Flow: flow(1, menu), Label: other.Label(), Ack: 1}) // it has answered
+	is.Equal(s.Packet(200*time.Millisecond, opening(0, menu, 1)).Target, other)
 }
 
 // A target that goes on answering nobody is tried less and less often, and as before once
 // it has answered.
 func TestASilentTargetIsTriedLessAndLessOften(t *testing.T) {
 	is := is.New(t)
-	st := &state{}
+	c := &contact{}
 	now := time.Second
 	for _, pause := range []time.Duration{silentFor, 2 * silentFor, 4 * silentFor, 4 * silentFor} {
-		st.passOver(now)
-		st.passOver(now + time.Millisecond) // another flow that was placed before
-		is.Equal(st.silentUntil, now+pause)
-		now = st.silentUntil
+		c.passOver(now)
+		c.passOver(now + time.Millisecond) // another flow that was placed before
+		is.Equal(c.silentUntil, now+pause)
+		now = c.silentUntil
 	}
-	st.answered(now+time.Second, now+time.Second)
-	is.Equal(st.silentUntil, time.Duration(0))
-	st.passOver(now + 2*time.Second)
-	is.Equal(st.silentUntil, now+2*time.Second+silentFor)
+	c.answered(now+time.Second, now+time.Second)
+	is.True(!c.silent(now + time.Second))
+	c.passOver(now + 2*time.Second)
+	is.Equal(c.silentUntil, now+2*time.Second+silentFor)
 }
