announcer: reading a record apart from learning of a target

Reading the record is a function of its own now. No change of behaviour, but that a damaged record of a lost target that is not known is no longer forgotten by key.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -294,44 +294,53 @@
 	}
 }
 
-// Learn takes in a record that gossip brought. Damaged ones are left out.
-func (r *Registry) Learn(now time.Duration, rec gossiper.Record) {
+// read returns the announcement in a record and the home of its target. ok is false for a
+// damaged record.
+func read(rec gossiper.Record) (a Announcement, home string, ok bool) {
 	var b body
 	if cbor.Unmarshal(rec.Body, &b) != nil {
-		return
+		return a, "", false
 	}
 	endpoint, err := netip.ParseAddrPort(b.Endpoint)
 	if err != nil {
-		return
+		return a, "", false
 	}
 	request, _ := netip.ParseAddrPort(b.Request) // a target need not serve requests
-	a := Announcement{
+	a = Announcement{
 		Endpoint: endpoint, Request: request, Job: b.Job, DataCentre: b.DataCentre, Slots: b.Slots,
 		Connections: b.Connections, Running: b.Running, Load: float64(b.Load), State: b.State,
 		Incarnation: rec.Incarnation, Sequence: rec.Sequence, Identity: b.Identity,
 		ColdFor: b.ColdFor,
 	}
-	old := r.targets[endpoint]
+	return a, b.Home, a.Validate() == nil
+}
+
+// Learn takes in a record that gossip brought. Damaged ones are left out.
+func (r *Registry) Learn(now time.Duration, rec gossiper.Record) {
+	a, home, ok := read(rec)
+	if !ok {
+		return
+	}
+	old := r.targets[a.Endpoint]
 	lost := rec.Rank != gossiper.RankOwn
 	if old == nil && lost {
 		r.forgotten = append(r.forgotten, rec.Key)
 		return
 	}
-	if a.Validate() != nil || (old != nil && older(a, old.Announcement)) {
+	if old != nil && older(a, old.Announcement) {
 		return
 	}
-	if old != nil && old.Home == b.Home && old.Sequence == a.Sequence && old.Incarnation == a.Incarnation && old.Lost == lost {
+	if old != nil && old.Home == home && old.Sequence == a.Sequence && old.Incarnation == a.Incarnation && old.Lost == lost {
 		return
 	}
-	switch {
-	case b.Home != r.self || lost || a.State == Gone:
-		delete(r.home, endpoint)
-	default:
+	if home == r.self && !lost && a.State != Gone {
 		// This instance was the home before it restarted. It watches the target again:
 		// nobody else would notice that it has ended meanwhile.
-		r.home[endpoint] = local{heard: now, published: now, sequence: a.Sequence}
+		r.home[a.Endpoint] = local{heard: now, published: now, sequence: a.Sequence}
+	} else {
+		delete(r.home, a.Endpoint)
 	}
-	r.take(now, a, b.Home, lost)
+	r.take(now, a, home, lost)
 }
 
 // take makes a the present state of its endpoint. An endpoint that comes back
