--- a/controller/controller.go
+++ b/controller/controller.go
@@ -404,6 +404,7 @@
 		r.gossip = c.gossip.Revision()
 	}
 	c.seen = r
+	c.gatherTo = c.now() + time.Duration(c.registry.Len())*gatherTime
 	c.onWorld(c.world())
 }
 
@@ -413,17 +414,8 @@
 
 // gathers tells whether there is news of targets only, which waits for more of it.
 func (c *Controller) gathers(r revisions) bool {
-	if !c.set.Labels {
-		return false
-	}
-	now := c.now()
-	other := r
-	other.registry = c.seen.registry
-	if other == c.seen && now < c.gatherTo {
-		return true
-	}
-	c.gatherTo = now + time.Duration(c.registry.Len())*gatherTime
-	return false
+	r.registry = c.seen.registry
+	return c.set.Labels && r == c.seen && c.now() < c.gatherTo
 }
 
 // watchers returns who is told at once which version is in force here: everybody in
