--- /dev/null
+++ b/server/labels_bench_test.go
@@ -0,0 +1,35 @@
+package server
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"almondpick/announcer"
+	"almondpick/controller"
+	"almondpick/planner"
+	"almondpick/steerer"
+)
+
+// BenchmarkLabelView is what a new view of 3,000 targets costs the flow door.
+func BenchmarkLabelView(b *testing.B) {
+	const targets, routes = 3000, 240
+	w := controller.World{Ready: true, At: time.Second, Config: planner.Config{Rules: &planner.Ruleset{Version: 1}}}
+	for n := range routes {
+		w.Config.Rules.Routes = append(w.Config.Rules.Routes, planner.Route{
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(n >> 8), byte(n)}), 443),
+			Shares:  []planner.Share{{Pool: "pool-a", Weight: 1}},
+		})
+	}
+	for n := range targets {
+		w.Targets = append(w.Targets, announcer.Target{Announcement: announcer.Announcement{
+			Endpoint: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 8080),
+			Job:      "pool-a", Slots: 2, Identity: uint64(n + 1), Incarnation: uint64(1000 + n),
+		}})
+	}
+	s := steerer.New()
+	b.ReportAllocs()
+	for b.Loop() {
+		s.SetView(labelView(w))
+	}
+}
