controller, gossiper, server: less garbage and sorting in large deployments

Cause: a profile of 40 entries among 300, with 3,000 targets: 30% collection of garbage, 7% sorting of members for chores that need no order, 10% of a view spent on names for a list that is empty on the platform.

Change: Worlds for labels hold neither members nor issuers; chores go through members without copying and sorting them; targets' names are made only where the configuration drains some; news of targets is gathered for 0.2 ms a target in place of 0.1 (0.6 s at 3,000, 1.2 s at 5,800, of three seconds that a leaving target has).

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -413,7 +413,7 @@
 
 // gatherTime is how long news of targets is gathered, for each target that is known. A
 // World costs time in proportion to them, and with more of them there is more news.
-const gatherTime = 100 * time.Microsecond
+const gatherTime = 200 * time.Microsecond
 
 // gathers tells whether there is news of targets only, which waits for more of it.
 func (c *Controller) gathers(r revisions) bool {
@@ -425,28 +425,30 @@
 // a small deployment, the voters in a large one.
 func (c *Controller) watchers() []string {
 	const small = 16 // instances
-	members := c.gossip.Members()
-	if len(members) >= small {
+	if c.gossip.Len() >= small {
 		return c.machine.Config().Voters
 	}
-	names := make([]string, 0, len(members))
-	for _, m := range members {
+	var names []string
+	for _, m := range c.gossip.Members() {
 		names = append(names, m.Name)
 	}
 	return names
 }
 
+// world returns the present state. Flows that carry a label need no members, and no order
+// of targets.
 func (c *Controller) world() World {
 	w := World{
-		Self: c.gossip.Self(), Config: c.machine.Config(), Members: c.gossip.Members(),
+		Self: c.gossip.Self(), Config: c.machine.Config(),
 		Ready: c.ready, Confirmed: c.confirm, Leaving: c.leaving, At: c.now(),
 	}
-	w.Issuers = c.issuers()
 	w.Targets = make([]announcer.Target, 0, c.registry.Len())
 	c.registry.Targets(func(t announcer.Target) { w.Targets = append(w.Targets, t) })
 	if c.set.Labels {
-		return w // the order makes no difference
+		return w
 	}
+	w.Members = c.gossip.Members()
+	w.Issuers = c.issuers()
 	slices.SortFunc(w.Targets, func(a, b announcer.Target) int { return a.Endpoint.Compare(b.Endpoint) })
 	return w
 }
--- a/controller/electorate.go
+++ b/controller/electorate.go
@@ -177,16 +177,17 @@
 // centre if there is one, and not the one to avoid if there is another. Those know who
 // leads.
 func (c *Controller) nearestStore(avoid string) (string, bool) {
-	best := ""
-	for _, m := range c.gossip.Members() {
+	best, bestNear := "", false
+	c.gossip.Each(func(m gossiper.Member) bool {
 		if !m.Alive() || m.VoterID == "" {
-			continue
+			return true
 		}
 		near := m.DataCentre == c.set.Self.DataCentre && m.RPC != avoid
-		if best == "" || best == avoid || near {
-			best = m.RPC
+		if best == "" || best == avoid || (near && !bestNear) {
+			best, bestNear = m.RPC, near
 		}
-	}
+		return true
+	})
 	return best, best != ""
 }
 
@@ -198,9 +199,10 @@
 		return c.aliveInstance
 	}
 	stores := c.set.DataFolder != ""
-	for _, m := range c.gossip.Members() {
+	c.gossip.Each(func(m gossiper.Member) bool {
 		stores = stores || (m.Alive() && m.VoterID != "")
-	}
+		return !stores
+	})
 	if !stores {
 		return func(string) bool { return true }
 	}
--- a/controller/notes.go
+++ b/controller/notes.go
@@ -25,13 +25,14 @@
 
 // noteMembers logs the members that have come, come back or gone.
 func (c *Controller) noteMembers(now time.Duration) {
-	for _, m := range c.gossip.Members() {
+	c.gossip.Each(func(m gossiper.Member) bool {
 		seen := memberRank{rank: m.Rank, incarnation: m.Incarnation}
 		if c.ranks[m.Name] == seen {
-			continue
+			return true
 		}
 		c.ranks[m.Name] = seen
 		c.log.Info("member", "instance", m.Name, "rank", rankNames[m.Rank], "incarnation", m.Incarnation,
 			"voter", m.VoterID, "contact-age", now-m.LastContact)
-	}
+		return true
+	})
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -215,6 +215,20 @@
 	}
 }
 
+// Len returns the number of other instances that are known.
+func (g *Gossiper) Len() int {
+	return len(g.members)
+}
+
+// Each calls f for the other instances that are known, in no order, until it is false.
+func (g *Gossiper) Each(f func(m Member) bool) {
+	for _, m := range g.members {
+		if !f(*m) {
+			return
+		}
+	}
+}
+
 // Members returns the other instances that are known, ordered by name.
 func (g *Gossiper) Members() []Member {
 	out := make([]Member, 0, len(g.members))
--- a/server/view.go
+++ b/server/view.go
@@ -88,7 +88,10 @@
 }
 
 func fit(w controller.World, t announcer.Target) bool {
-	return t.Fit(w.At) && !w.Config.Drained[t.Name()]
+	if len(w.Config.Drained) > 0 && w.Config.Drained[t.Name()] {
+		return false
+	}
+	return t.Fit(w.At)
 }
 
 // requestView returns what the request door decides by.
