steerer: targets that refuse flows do not attract them

A target that refuses is never busy, shows no copy and gives no answer to judge, so it was the first choice until its record was lost.

Not while the instance is learning, when all targets may be overrun.

--- a/steerer/load_test.go
+++ b/steerer/load_test.go
@@ -52,6 +52,8 @@
 	slow  float64
 	dead  bool
 	grey  float64 // share of requests that fail at once
+	// refuses says that the target's machine answers opening packets with a reset.
+	refuses bool
 }
 
 // world plays callers, instances and targets in virtual time.
@@ -172,6 +174,10 @@
 // accept is what a target does with an opening packet.
 func (w *world) accept(j *job, n int) {
 	s := w.servers[n]
+	if s.refuses {
+		j.over = true
+		return
+	}
 	if s.dead || j.open || len(s.queue) >= loadQueue {
 		return
 	}
@@ -272,6 +278,20 @@
 	is.True(w.share(0, 9*time.Second) > blind.share(0, 9*time.Second))
 }
 
+// Two targets refuse every flow, as machines do whose process has crashed, and so are never
+// busy.
+func TestTargetsThatRefuseFlowsDoNotAttractThem(t *testing.T) {
+	is := is.New(t)
+	w, blind := newWorld(false), newWorld(true)
+	for _, one := range []*world{w, blind} {
+		one.servers[0].refuses, one.servers[1].refuses = true, true
+		one.play(10 * time.Second)
+	}
+	t.Logf("in the aim: %.4f, random placement %.4f", w.share(0, 9*time.Second), blind.share(0, 9*time.Second))
+	is.True(w.share(0, 9*time.Second) >= 0.96)
+	is.True(w.share(0, 9*time.Second) > blind.share(0, 9*time.Second))
+}
+
 // Targets that were slow and have recovered get their part again.
 func TestRecoveredTargetsGetFlowsAgain(t *testing.T) {
 	is := is.New(t)
--- a/steerer/outcome.go
+++ b/steerer/outcome.go
@@ -13,6 +13,10 @@
 	// waitWeight and shortWeight are how much one flow counts against those before it.
 	waitWeight  = 0.2
 	shortWeight = 0.15
+	// refusedWeight is how much a flow of which nothing more is heard counts, in the same
+	// way as a short answer. Callers go on within a few milliseconds unless the target has
+	// refused the flow or is gone.
+	refusedWeight = 0.4
 	// usualWeight is the same for what is usual in a pool or on a route.
 	usualWeight = 0.02
 	// forgetTime is the time in which a judgement loses most of its weight. A target that
@@ -109,6 +113,14 @@
 	st.outcome.short += shortWeight * (short - st.outcome.short)
 }
 
+// refused judges a target by a flow that it did not let open and whose caller has not
+// asked again either: it was told that nobody listens there. Such a target is never busy
+// and would be offered first.
+func (s *Steerer) refused(now time.Duration, st *state) {
+	st.outcome.judge(now)
+	st.outcome.short += refusedWeight * (1 - st.outcome.short)
+}
+
 // judge prepares the judgement for a flow.
 func (o *outcome) judge(now time.Duration) {
 	if o.at == 0 {
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -273,6 +273,9 @@
 func (s *Steerer) sweep(now time.Duration) {
 	s.nextSweep = now + sweepEvery
 	for flow, f := range s.flows {
+		if s.view.Complete && f.busy && !f.answered && f.heard == f.at && now >= f.until {
+			s.refused(now, f.target)
+		}
 		pauses := f.answered && !f.asked && now-f.heard >= idleAfter
 		if f.busy && f.answered && f.asked && now >= f.until {
 			s.began(now, f.target, now-f.askedAt) // no answer at all
