--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -268,12 +268,18 @@
 	}
 }
 
+// wasRefused tells whether the flow did not open in time and its caller has not asked for
+// it again.
+func (f *opened) wasRefused(now time.Duration) bool {
+	return f.busy && !f.answered && f.heard == f.at && now >= f.until
+}
+
 // sweep forgets flows that have ended, and no longer counts as load those that pause
 // between requests or whose callers must have given up.
 func (s *Steerer) sweep(now time.Duration) {
 	s.nextSweep = now + sweepEvery
 	for flow, f := range s.flows {
-		if s.view.Complete && f.busy && !f.answered && f.heard == f.at && now >= f.until {
+		if s.view.Complete && f.wasRefused(now) {
 			s.refused(now, f.target)
 		}
 		pauses := f.answered && !f.asked && now-f.heard >= idleAfter
