controller: a pause between reads while all stores are learning

Change: three stores are asked one after the other, then there is a pause of a second; deltas come by gossip meanwhile. A test fails without it.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -116,6 +116,7 @@
 	// last isolation.
 	heardAllAt time.Duration
 	learning   string // peer door of a store that was learning itself when it was read
+	partial    int    // answers of such stores since the last pause
 	ticked     time.Duration
 	reading    bool          // a read that confirms the configuration is under way
 	readAt     time.Duration // not to be tried again before, after a failure
--- a/controller/sync.go
+++ b/controller/sync.go
@@ -14,6 +14,14 @@
 // retryEvery is how soon a call that failed while this instance learns is made again.
 const retryEvery = 100 * time.Millisecond
 
+// Answers of stores that are learning themselves: so many are asked one after the other,
+// then there is a pause. At the first start of a large deployment all are learning, and all
+// records are many bytes for each of its instances.
+const (
+	partialTries = 3
+	partialPause = time.Second
+)
+
 // recordsTimeout returns how long all records may take after some failures in a row. The
 // first try is given up early, because the connection may have gone silent; a link that
 // is too slow for it gets more time with each.
@@ -74,22 +82,24 @@
 	})
 }
 
-// takeRecords takes in what a store knows. When that one is learning another is asked at
-// once, if there is one.
+// takeRecords takes in what a store knows. When that one is learning, others are asked at
+// once.
 func (c *Controller) takeRecords(from string, reply *messenger.RecordsReply) {
 	c.gossip.TakeAll(c.now(), reply.Records)
 	c.learnTargets(c.now())
 	if reply.Learning {
 		c.log.Info("caught-up-in-part", "from", from, "records", len(reply.Records))
-		if c.learning != "" {
-			c.syncAt = c.now() + retryEvery
-		}
 		c.learning = from
+		c.partial++
+		if c.partial >= partialTries {
+			c.partial = 0
+			c.syncAt = c.now() + partialPause
+		}
 		c.learnOn(c.now())
 		return
 	}
 	c.synced = true
-	c.learning = ""
+	c.learning, c.partial = "", 0
 	c.log.Info("caught-up", "from", from, "records", len(reply.Records))
 	c.learnOn(c.now())
 }
--- a/controller/sync_test.go
+++ b/controller/sync_test.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// When all stores are learning, as at the first start of a deployment, an instance does not
+// read all records from them over and over.
+func TestReadsPauseWhileAllStoresAreLearning(t *testing.T) {
+	is := is.New(t)
+	c, err := New(Settings{Self: gossiper.Instance{Name: "a", Peer: peerOf(0), RPC: peerOf(0)}, Electorate: 3, Labels: true},
+		noTicks{}, end{wires: newWires(t), self: peerOf(0)}, messenger.Keys{})
+	is.NoErr(err)
+	c.do(context.Background(), func() {
+		for n := range partialTries {
+			is.Equal(c.syncAt, time.Duration(0)) // another one is asked at once
+			c.takeRecords(peerOf(n), &messenger.RecordsReply{Learning: true})
+		}
+		is.True(c.syncAt >= partialPause)
+		is.True(!c.synced)
+	})
+	is.NoErr(c.Close())
+}
+
 // A store that stood still may have missed what the others know.
 func TestAStoreThatStoodStillIsLearningAgain(t *testing.T) {
 	is := is.New(t)
