controller, planner, announcer: a departure that was answered outlives every restart

Cause: the records of targets on a store's disk are up to a second old, more on a slow disk, and were taken in at the start as they were. A target whose draining or end had been answered in that second was in use again after a loss of power of all stores, until three seconds had passed without an announcement of it. The same happened when the answering store ended before its next tick, or when an instance that was cut off brought an old record.

Ruled out: a sync of the cache before each answer (a store that was not in reach keeps its old cache, and the disk that has the new one may be lost); taking in the cache only after an election (a second longer without targets than a majority of disks needs to answer).

Change: the word of a target that leaves is a command of the replicated log, answered once a majority has it on disk; several that come at the same time share a command. Stores correct any older record that reaches them, from a disk or from gossip. After a start the records of the cache wait until a majority of the voters has said which departures their disks hold, committed or not; without a majority they are left out after three seconds. A read of all records waits for that. A store that has just started no longer confirms the end of a target that it does not know.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -282,9 +282,14 @@
 }
 
 func (r *Registry) record(a Announcement, rank gossiper.Rank) gossiper.Record {
+	return record(a, r.self, rank)
+}
+
+// record returns the form in which an announcement to the instance home spreads.
+func record(a Announcement, home string, rank gossiper.Rank) gossiper.Record {
 	b, err := cbor.Marshal(body{
 		Endpoint: a.Endpoint.String(), Request: a.Request.String(), Job: a.Job, DataCentre: a.DataCentre,
-		Slots: a.Slots, Connections: a.Connections, Running: a.Running, Load: float32(a.Load), State: a.State, Home: r.self,
+		Slots: a.Slots, Connections: a.Connections, Running: a.Running, Load: float32(a.Load), State: a.State, Home: home,
 		Identity: a.Identity, ColdFor: a.ColdFor,
 	})
 	if err != nil {
--- /dev/null
+++ b/announcer/departure.go
@@ -0,0 +1,87 @@
+package announcer
+
+import (
+	"net/netip"
+
+	"almondpick/gossiper"
+)
+
+// Departure is the word of a target that it takes no new work any more. Once it has been
+// acknowledged it holds for good, unlike the rest of what is known of targets: an older
+// record of the target, from a disk or from an instance that was cut off, must not bring
+// the target back.
+type Departure struct {
+	_           struct{} `cbor:",toarray"`
+	Endpoint    netip.AddrPort
+	Identity    uint64
+	Incarnation uint64
+	Sequence    uint64
+	Gone        bool   // it has ended; false for one that drains
+	Home        string // instance that it was said to
+}
+
+// Validate returns a *FieldError for a departure of no endpoint.
+func (d Departure) Validate() error {
+	if !d.Endpoint.IsValid() {
+		return &FieldError{Field: "endpoint", Value: d.Endpoint.String(), Allowed: "IP:port"}
+	}
+	return nil
+}
+
+// Covers tells whether whoever knows d knows o.
+func (d Departure) Covers(o Departure) bool {
+	if d.Incarnation != o.Incarnation {
+		return d.Incarnation > o.Incarnation
+	}
+	if d.Gone != o.Gone {
+		return d.Gone
+	}
+	return d.Sequence >= o.Sequence
+}
+
+func (d Departure) announcement() Announcement {
+	a := Announcement{Endpoint: d.Endpoint, Identity: d.Identity, Incarnation: d.Incarnation, Sequence: d.Sequence, State: Draining}
+	if d.Gone {
+		a.State = Gone
+	}
+	return a
+}
+
+// DepartureOf returns the departure that a record tells of. ok is false for a record of a
+// target that takes work or was merely lost.
+func DepartureOf(rec gossiper.Record) (d Departure, ok bool) {
+	a, home, ok := read(rec)
+	if !ok || rec.Rank != gossiper.RankOwn || (a.State != Draining && a.State != Gone) {
+		return Departure{}, false
+	}
+	return Departure{
+		Endpoint: a.Endpoint, Identity: a.Identity, Incarnation: a.Incarnation, Sequence: a.Sequence,
+		Gone: a.State == Gone, Home: home,
+	}, true
+}
+
+// Correct returns the record as it has to be after the departure, and whether that is
+// another one than rec. An earlier incarnation of the target has ended.
+func (d Departure) Correct(rec gossiper.Record) (gossiper.Record, bool) {
+	a, _, ok := read(rec)
+	if !ok || a.Endpoint != d.Endpoint || !older(a, d.announcement()) || a.State == Gone {
+		return rec, false
+	}
+	a.Sequence = max(a.Sequence+1, d.Sequence)
+	a.State = d.announcement().State
+	if a.Incarnation != d.Incarnation {
+		a.Sequence = rec.Sequence + 1
+		a.State = Gone
+	}
+	return record(a, d.Home, gossiper.RankOwn), true
+}
+
+// EndpointOf returns the endpoint whose record has that key. ok is false for a key that
+// is not a target's.
+func EndpointOf(key string) (at netip.AddrPort, ok bool) {
+	if len(key) < len(gossiper.TargetPrefix) || key[:len(gossiper.TargetPrefix)] != gossiper.TargetPrefix {
+		return at, false
+	}
+	at, err := netip.ParseAddrPort(key[len(gossiper.TargetPrefix):])
+	return at, err == nil
+}
--- a/announcer/identity.go
+++ b/announcer/identity.go
@@ -1,25 +1,30 @@
 package announcer
 
 import (
+	"net/netip"
 	"time"
 
 	"almondpick/gossiper"
 )
 
-// Leave takes in the word of a target with that identity that it has ended. It is
-// false when no such target is known here.
-func (r *Registry) Leave(now time.Duration, identity uint64, p Publisher) bool {
+// Leave takes in the word of a target with that identity that it has ended, and returns
+// its endpoint. ok is false when no such target is known here.
+func (r *Registry) Leave(now time.Duration, identity uint64, p Publisher) (at netip.AddrPort, ok bool) {
 	for _, t := range r.targets {
-		if t.Identity != identity || t.State == Gone {
+		if t.Identity != identity {
 			continue
 		}
+		at, ok = t.Endpoint, true
+		if t.State == Gone {
+			continue // an earlier one of that identity, or one that says so again
+		}
 		a := t.Announcement
 		a.State = Gone
 		a.Sequence++
 		r.take(now, a, r.self, false)
 		p.Announce(r.record(a, gossiper.RankOwn))
 		delete(r.home, a.Endpoint)
-		return true
+		return at, true
 	}
-	return false
+	return at, ok
 }
--- a/controller/cache.go
+++ b/controller/cache.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"strings"
 	"time"
 
@@ -8,6 +9,7 @@
 	"almondpick/gossiper"
 	"almondpick/journaler"
 	"almondpick/messenger"
+	"almondpick/voter"
 )
 
 // Times of the cache of targets.
@@ -24,11 +26,21 @@
 // targetCache keeps the records of targets on the disk. They are soft state: targets
 // announce themselves again within seconds. But when everything has restarted, callers
 // need not wait for that.
+//
+// A disk alone does not tell who has left since it was written. The records that are read
+// from it wait until a majority of the voters has said which departures their disks hold:
+// whatever departure was acknowledged is among those.
 type targetCache struct {
 	saved  uint64 // revision of the registry that was last saved
 	next   time.Duration
 	saving bool
-	loaded bool // what was known before the restart has been read
+	loaded bool // what was known before the restart has been taken in
+
+	pending []gossiper.Record // read from the disk, not taken in yet
+	settled chan struct{}     // closed once pending has been taken in or given up
+	heard   map[voter.ID]bool // voters whose departures are known
+	asked   map[voter.ID]bool // voters that are being asked
+	askAt   time.Duration     // not to be asked again before
 }
 
 // savedTargets is the content of the cache.
@@ -42,9 +54,7 @@
 	return messenger.RecordsReply{Records: s.Records}.Validate()
 }
 
-// loadTargets takes in the targets that were known before the restart. What others
-// know of them is newer and goes before it; a target that its home does not hear from
-// is lost after the usual time.
+// loadTargets reads the targets that were known before the restart.
 func (c *Controller) loadTargets() {
 	b, err := journaler.LoadCache(c.set.DataFolder)
 	if err != nil {
@@ -64,11 +74,86 @@
 		c.log.Warn("target-cache-too-old", "age", age, "records", len(s.Records))
 		return
 	}
-	c.gossip.TakeAll(c.now(), s.Records)
-	c.learnTargets(c.now())
-	c.cache.saved = c.registry.Revision()
-	c.cache.loaded = true
+	c.cache.pending = append([]gossiper.Record{}, s.Records...)
+	c.cache.settled = make(chan struct{})
+	c.cache.heard = make(map[voter.ID]bool)
+	c.cache.asked = make(map[voter.ID]bool)
 	c.log.Info("target-cache-read", "age", age, "records", len(s.Records))
+	c.settleCache(c.now())
+}
+
+// settleCache takes in the records from the disk once it is known who has left. What
+// others know of a target is newer and goes before them; a target that its home does not
+// hear from is lost after the usual time. When no majority answers until all targets
+// have announced themselves, the records are left out.
+func (c *Controller) settleCache(now time.Duration) {
+	if c.cache.pending == nil || c.voter == nil || c.voterErr != nil {
+		return
+	}
+	voters := c.voter.Membership().Voters
+	if c.heardQuorum(voters) {
+		c.hearDepartures(c.heldDepartures())
+		c.gossip.TakeAll(now, c.cache.pending)
+		c.learnTargets(now)
+		c.cache.saved = c.registry.Revision()
+		c.cache.loaded = true
+		c.log.Info("target-cache-taken", "records", len(c.cache.pending), "departures", len(c.departing.heard), "voters", len(voters))
+		c.endCache()
+		c.learnOn(now)
+		return
+	}
+	if now >= c.heardAllAt {
+		c.log.Warn("target-cache-left-out", "records", len(c.cache.pending), "voters-heard", len(c.cache.heard), "voters", len(voters))
+		c.endCache()
+		return
+	}
+	c.askDepartures(now, voters)
+}
+
+func (c *Controller) endCache() {
+	c.cache.pending = nil
+	close(c.cache.settled)
+}
+
+// heardQuorum tells whether the departures of a majority are known, this voter included.
+func (c *Controller) heardQuorum(voters []voter.ID) bool {
+	n := 0
+	for _, id := range voters {
+		if id == c.voter.ID() || c.cache.heard[id] {
+			n++
+		}
+	}
+	return n > len(voters)/2
+}
+
+// askDepartures asks the voters that have not answered yet.
+func (c *Controller) askDepartures(now time.Duration, voters []voter.ID) {
+	if now < c.cache.askAt {
+		return
+	}
+	for _, id := range voters {
+		to, ok := c.addressOf(id)
+		if !ok || id == c.voter.ID() || c.cache.heard[id] || c.cache.asked[id] {
+			continue
+		}
+		c.cache.asked[id] = true
+		c.background(fetchTimeout, func(ctx context.Context) func() {
+			reply, err := c.transport.Departures(ctx, to)
+			return func() { c.takeDeparturesOf(id, reply, err) }
+		})
+	}
+}
+
+func (c *Controller) takeDeparturesOf(id voter.ID, reply *messenger.DeparturesReply, err error) {
+	delete(c.cache.asked, id)
+	if err != nil {
+		c.log.Info("departures-unread", "from", id, "error", err)
+		c.cache.askAt = c.now() + retryEvery
+		return
+	}
+	c.hearDepartures(reply.Departures)
+	c.cache.heard[voter.ID(reply.Voter)] = true
+	c.settleCache(c.now())
 }
 
 // saveTargets writes the records of targets to the disk when they have changed. The
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -25,25 +26,51 @@
 	return "the instance is stopping or did not answer in time"
 }
 
-// Announce takes in what a target says of itself. It returns an
-// *announcer.FieldError or a *ClosedError.
+// Announce takes in what a target says of itself. When it returns nil for a target that
+// leaves, that is durable. It returns an *announcer.FieldError, an *UnrecordedError or a
+// *ClosedError.
 func (c *Controller) Announce(ctx context.Context, a announcer.Announcement) error {
 	var err error
-	if !c.do(ctx, func() { err = c.registry.Announce(c.now(), a, c.gossip) }) {
+	var recorded <-chan bool
+	ok := c.do(ctx, func() {
+		if err = c.registry.Announce(c.now(), a, c.gossip); err == nil {
+			recorded = c.recordDeparture(a.Endpoint)
+		}
+	})
+	if !ok {
 		return &ClosedError{}
 	}
-	return err
+	if err != nil {
+		return err
+	}
+	return c.awaitRecorded(ctx, recorded)
 }
 
 // Withdraw takes in the word of a target that it has ended. One that is not known here
-// has nothing to be taken back. It returns a *ClosedError.
+// has nothing to be taken back. It returns a *LearningError, an *UnrecordedError or a
+// *ClosedError.
 func (c *Controller) Withdraw(ctx context.Context, identity uint64) error {
+	var err error
+	var recorded <-chan bool
 	known := false
-	if !c.do(ctx, func() { known = c.registry.Leave(c.now(), identity, c.gossip) }) {
+	ok := c.do(ctx, func() {
+		var at netip.AddrPort
+		at, known = c.registry.Leave(c.now(), identity, c.gossip)
+		switch {
+		case known:
+			recorded = c.recordDeparture(at)
+		case !c.informed():
+			err = &LearningError{}
+		}
+	})
+	if !ok {
 		return &ClosedError{}
 	}
-	c.log.Info("target-left", "identity", identity, "known", known)
-	return nil
+	if err == nil {
+		err = c.awaitRecorded(ctx, recorded)
+	}
+	c.log.Info("target-left", "identity", identity, "known", known, "error", err)
+	return err
 }
 
 // World returns the present control state. It returns a *ClosedError.
@@ -215,7 +242,7 @@
 	if c.packed.data != nil && c.packed.index == c.machine.Index() {
 		return c.packed.data, nil
 	}
-	plain, err := c.machine.Snapshot()
+	plain, err := c.machine.Replica()
 	if err != nil {
 		return nil, err
 	}
--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -97,6 +97,13 @@
 	return nil, &ClosedError{}
 }
 
+func (e end) Departures(ctx context.Context, to string) (*messenger.DeparturesReply, error) {
+	if c := e.at(to); c != nil {
+		return c.Departures(ctx)
+	}
+	return nil, &ClosedError{}
+}
+
 func peerOf(n int) string { return fmt.Sprintf("10.0.0.%d:7000", n+1) }
 
 // start starts the store with a number; first says that the deployment begins.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -35,6 +35,7 @@
 	Propose(ctx context.Context, to string, c planner.Command) (*planner.Answer, error)
 	Read(ctx context.Context, to string) (*messenger.ReadReply, error)
 	Records(ctx context.Context, to string) (*messenger.RecordsReply, error)
+	Departures(ctx context.Context, to string) (*messenger.DeparturesReply, error)
 }
 
 // Settings say who the instance is and where it starts from.
@@ -123,6 +124,7 @@
 	commands   []keptCommand
 	packed     packedState
 	cache      targetCache
+	departing  departing
 	fetching   bool
 	ready      bool
 	confirm    bool
@@ -315,6 +317,7 @@
 	c.noteIsolation(now)
 	c.send(c.gossip.Tick(now))
 	c.learnTargets(now)
+	c.settleCache(now)
 	if c.voter != nil && c.voterErr == nil {
 		c.voter.Tick(now)
 	}
@@ -327,7 +330,7 @@
 func (c *Controller) learnTargets(now time.Duration) {
 	for _, r := range c.gossip.News() {
 		if strings.HasPrefix(r.Key, gossiper.TargetPrefix) {
-			c.registry.Learn(now, r)
+			c.registry.Learn(now, c.correct(r))
 		}
 	}
 	for _, key := range c.registry.Forgotten() {
@@ -368,6 +371,7 @@
 		c.send(c.gossip.Handle(c.now(), from, m))
 		c.learnTargets(c.now())
 		c.fetchNewer()
+		c.settleCache(c.now())
 		c.learnOn(c.now())
 	}), nil
 }
--- a/controller/log.go
+++ b/controller/log.go
@@ -151,6 +151,9 @@
 	answer := c.machine.Apply(a.Index, cmd)
 	c.keep(a, cmd)
 	c.noteInForce(before)
+	if cmd.Depart != nil {
+		c.takeDepartures(cmd.Depart.Departures)
+	}
 	return answer
 }
 
@@ -161,7 +164,12 @@
 	}
 }
 
+// keep keeps a command for instances that catch up. Departures concern members of the
+// log only; others hear of them as news of targets.
 func (c *Controller) keep(a messenger.Applied, cmd planner.Command) {
+	if cmd.Depart != nil {
+		return
+	}
 	k := keptCommand{applied: a}
 	if cmd.Replace != nil {
 		k.ruleset = cmd.Replace.Version
--- a/controller/sync.go
+++ b/controller/sync.go
@@ -22,6 +22,9 @@
 	partialPause = time.Second
 )
 
+// cacheHold is how long the answer to a read of all records waits for those of the disk.
+const cacheHold = time.Second
+
 // recordsTimeout returns how long all records may take after some failures in a row. The
 // first try is given up early, because the connection may have gone silent; a link that
 // is too slow for it gets more time with each.
@@ -111,9 +114,11 @@
 	return c.synced || c.cache.loaded || c.now() >= c.heardAllAt
 }
 
-// Records returns all that this instance knows of instances and targets. It returns a
-// *ClosedError.
+// Records returns all that this instance knows of instances and targets. While it is about
+// to take in what its disk holds, it answers a little later rather than in part. It
+// returns a *ClosedError.
 func (c *Controller) Records(ctx context.Context) (*messenger.RecordsReply, error) {
+	c.awaitCache(ctx)
 	reply := &messenger.RecordsReply{}
 	ok := c.do(ctx, func() {
 		reply.Records = c.gossip.All()
@@ -124,3 +129,23 @@
 	}
 	return reply, nil
 }
+
+// awaitCache waits until the records from the disk have been taken in or given up.
+func (c *Controller) awaitCache(ctx context.Context) {
+	var settled chan struct{}
+	c.do(ctx, func() {
+		if c.cache.pending != nil {
+			settled = c.cache.settled
+		}
+	})
+	if settled == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, cacheHold)
+	defer cancel()
+	select {
+	case <-settled:
+	case <-ctx.Done():
+	case <-c.done:
+	}
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -206,6 +206,12 @@
 	g.revision++
 }
 
+// Record returns the record of a key that is held.
+func (g *Gossiper) Record(key string) (Record, bool) {
+	r, ok := g.store.records[key]
+	return r, ok
+}
+
 // Records calls f for every record whose key begins with prefix.
 func (g *Gossiper) Records(prefix string, f func(Record)) {
 	for k, r := range g.store.records {
--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"almondpick/announcer"
 	"almondpick/gossiper"
 	"almondpick/planner"
 	"almondpick/voter"
@@ -52,6 +53,23 @@
 	return nil
 }
 
+// DeparturesReply holds the departures of targets that the disk of a voter holds,
+// committed or not.
+type DeparturesReply struct {
+	Voter      string                `cbor:"voter"` // identity in the log
+	Departures []announcer.Departure `cbor:"departures"`
+}
+
+// Validate checks every departure.
+func (r DeparturesReply) Validate() error {
+	for _, one := range r.Departures {
+		if err := one.Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // VoterBatch carries messages between voters.
 type VoterBatch struct {
 	Messages []voter.Message `cbor:"messages"`
--- a/messenger/service.go
+++ b/messenger/service.go
@@ -23,6 +23,7 @@
 	TakeTickets(ctx context.Context, h *TicketHandover) (*Empty, error)
 	Read(ctx context.Context, r *Empty) (*ReadReply, error)
 	Records(ctx context.Context, r *Empty) (*RecordsReply, error)
+	Departures(ctx context.Context, r *Empty) (*DeparturesReply, error)
 }
 
 // OperatorServer answers operators.
@@ -67,6 +68,7 @@
 			unary(PeerService, "TakeTickets", PeerServer.TakeTickets),
 			unary(PeerService, "Read", PeerServer.Read),
 			unary(PeerService, "Records", PeerServer.Records),
+			unary(PeerService, "Departures", PeerServer.Departures),
 		},
 	}, s)
 }
@@ -136,6 +138,11 @@
 	return invoke[Empty, RecordsReply](ctx, c.Conn, PeerService, "Records", &Empty{}, grpc.UseCompressor(gzip.Name))
 }
 
+// Departures reads which departures of targets the disk of a voter holds.
+func (c PeerClient) Departures(ctx context.Context) (*DeparturesReply, error) {
+	return invoke[Empty, DeparturesReply](ctx, c.Conn, PeerService, "Departures", &Empty{}, grpc.UseCompressor(gzip.Name))
+}
+
 // OperatorClient calls an instance on behalf of an operator.
 type OperatorClient struct {
 	Conn grpc.ClientConnInterface
--- /dev/null
+++ b/planner/departure_test.go
@@ -0,0 +1,62 @@
+package planner
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"almondpick/announcer"
+)
+
+func departureAt(n int, incarnation uint64) announcer.Departure {
+	ip := netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)})
+	return announcer.Departure{Endpoint: netip.AddrPortFrom(ip, 80), Identity: uint64(n + 1), Incarnation: incarnation, Sequence: 1}
+}
+
+func TestDeparturesAreKeptInSnapshotsAndNotInReplicas(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine()
+	m.Apply(1, Command{Depart: &Depart{Departures: []announcer.Departure{departureAt(1, 5), departureAt(2, 5)}}})
+	m.Apply(2, Command{Depart: &Depart{Departures: []announcer.Departure{departureAt(1, 4)}}}) // comes late
+	d, ok := m.Departure(departureAt(1, 5).Endpoint)
+	is.True(ok)
+	is.Equal(d.Incarnation, uint64(5))
+
+	whole, err := m.Snapshot()
+	is.NoErr(err)
+	restored := NewMachine()
+	is.NoErr(restored.Restore(whole))
+	is.Equal(restored.Departures(), m.Departures())
+
+	part, err := m.Replica()
+	is.NoErr(err)
+	entry := NewMachine()
+	is.NoErr(entry.Restore(part))
+	is.Equal(entry.Index(), m.Index())
+	is.Equal(len(entry.Departures()), 0)
+}
+
+// The oldest are forgotten; a target that leaves again is among the newest.
+func TestDeparturesAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine()
+	for n := range DepartureLimit {
+		m.Apply(uint64(n+1), Command{Depart: &Depart{Departures: []announcer.Departure{departureAt(n, 1)}}})
+	}
+	m.Apply(DepartureLimit+1, Command{Depart: &Depart{Departures: []announcer.Departure{
+		departureAt(0, 2), departureAt(DepartureLimit, 1),
+	}}})
+	is.Equal(len(m.Departures()), DepartureLimit)
+	_, ok := m.Departure(departureAt(0, 2).Endpoint)
+	is.True(ok)
+	_, ok = m.Departure(departureAt(1, 1).Endpoint)
+	is.True(!ok)
+}
+
+func TestDepartCommandsAreChecked(t *testing.T) {
+	is := is.New(t)
+	is.True(Command{Depart: &Depart{}}.Validate() != nil)
+	is.True(Command{Depart: &Depart{Departures: []announcer.Departure{{}}}}.Validate() != nil)
+	is.NoErr(Command{Depart: &Depart{Departures: []announcer.Departure{departureAt(1, 1)}}}.Validate())
+}
--- a/planner/machine.go
+++ b/planner/machine.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"almondpick/announcer"
 )
 
 // MemoryLimit is how many intents, with their plans and outcomes, are remembered
@@ -21,6 +23,7 @@
 	Register *Register    `cbor:"register,omitempty"`
 	SetBase  *SetBase     `cbor:"set-base,omitempty"`
 	Replace  *Ruleset     `cbor:"replace,omitempty"`
+	Depart   *Depart      `cbor:"depart,omitempty"`
 }
 
 // StateIntent asks for a plan.
@@ -53,7 +56,7 @@
 // Validate returns a *Refusal when not exactly one field is set.
 func (c Command) Validate() error {
 	n := 0
-	for _, set := range []bool{c.State != nil, c.Confirm != nil, c.Register != nil, c.SetBase != nil, c.Replace != nil} {
+	for _, set := range []bool{c.State != nil, c.Confirm != nil, c.Register != nil, c.SetBase != nil, c.Replace != nil, c.Depart != nil} {
 		if set {
 			n++
 		}
@@ -61,8 +64,11 @@
 	if n != 1 {
 		return badField("command", strconv.Itoa(n)+" fields", "exactly one field")
 	}
-	if c.Replace != nil {
+	switch {
+	case c.Replace != nil:
 		return c.Replace.Validate()
+	case c.Depart != nil:
+		return c.Depart.Validate()
 	}
 	return nil
 }
@@ -89,6 +95,8 @@
 	intents map[string]remembered
 	plans   map[string]*Plan
 	order   []string // intent ids, oldest first
+
+	departures departures
 }
 
 // NewMachine returns a machine with an empty configuration.
@@ -145,6 +153,8 @@
 		m.setBase(*c.SetBase)
 	case c.Replace != nil:
 		m.replace(*c.Replace)
+	case c.Depart != nil:
+		m.departures.add(c.Depart.Departures)
 	}
 	return Answer{}
 }
@@ -328,11 +338,24 @@
 	Intents map[string]remembered `cbor:"intents"`
 	Plans   map[string]*Plan      `cbor:"plans"`
 	Order   []string              `cbor:"order"`
+	// Departures are those that instances with a disk keep.
+	Departures []announcer.Departure `cbor:"departures,omitempty"`
+}
+
+func (m *Machine) image() image {
+	return image{Config: m.config, Index: m.index, Intents: m.intents, Plans: m.plans, Order: m.order}
 }
 
 // Snapshot returns the encoded state.
 func (m *Machine) Snapshot() ([]byte, error) {
-	return cbor.Marshal(image{Config: m.config, Index: m.index, Intents: m.intents, Plans: m.plans, Order: m.order})
+	i := m.image()
+	i.Departures = m.departures.all()
+	return cbor.Marshal(i)
+}
+
+// Replica returns the encoded state without what only members of the log need.
+func (m *Machine) Replica() ([]byte, error) {
+	return cbor.Marshal(m.image())
 }
 
 // Restore replaces the state by a snapshot, unless the snapshot is older: a
@@ -346,6 +369,8 @@
 		return nil
 	}
 	m.config, m.index, m.order = i.Config, i.Index, i.Order
+	m.departures = departures{}
+	m.departures.add(i.Departures)
 	m.intents = maps.Clone(i.Intents)
 	m.plans = maps.Clone(i.Plans)
 	if m.intents == nil {
--- a/server/peer.go
+++ b/server/peer.go
@@ -59,6 +59,11 @@
 	return p.control.Records(ctx)
 }
 
+// Departures tells another instance which departures of targets the disk here holds.
+func (p *peerService) Departures(ctx context.Context, _ *messenger.Empty) (*messenger.DeparturesReply, error) {
+	return p.control.Departures(ctx)
+}
+
 // TakeTickets takes over a part of a ticket table.
 func (p *peerService) TakeTickets(_ context.Context, h *messenger.TicketHandover) (*messenger.Empty, error) {
 	if p.door == nil {
--- a/server/transport.go
+++ b/server/transport.go
@@ -176,6 +176,16 @@
 	return reply, t.judge(to, err)
 }
 
+// Departures implements controller.Transport.
+func (t *transport) Departures(ctx context.Context, to string) (*messenger.DeparturesReply, error) {
+	client, err := t.client(to)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Departures(ctx)
+	return reply, t.judge(to, err)
+}
+
 // judge gives up a connection on which a call ran into its timeout. The connection
 // may have gone silent, which nothing else shows for a long time; the next call opens
 // a new one.
