announcer, gossiper: another home of a target is no news

Cause: a target whose announcement times out at a busy store goes on at another one. That made the other store its home, and a change of home was a record that goes to every instance.

Ruled out: spreading changes of home as rumours (more messages in all than one to each); sending them to stores only (the digests of stores and entries differ then, and the records go around as repairs); asking targets to stay (their next choice is theirs).

Change: the store that hears a target lets its home know, a few bytes to one instance. It becomes the home itself, as news, once the home has been out of reach for two seconds, of the five after which others take the target for lost. A loss that is declared while another store hears the target is refuted at once. The registry is in a file of its own.

Tests that fail without it: TestAnotherHomeIsNoNews (a record for all per change of home), TestTheHomeMovesWhenTheOldOneIsGone, TestAShortRestartOfTheHomeIsNoNews, TestAFalseLossIsRefuted.

--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -13,7 +13,15 @@
 )
 
 // spreader keeps what was published.
-type spreader struct{ records []gossiper.Record }
+type spreader struct {
+	records   []gossiper.Record
+	relayed   []gossiper.Record
+	delivered int // of the records
+}
+
+func (s *spreader) Relay(_ string, records []gossiper.Record) {
+	s.relayed = append(s.relayed, records...)
+}
 
 func (s *spreader) Announce(r gossiper.Record) bool {
 	s.records = append(s.records, r)
--- /dev/null
+++ b/announcer/home_test.go
@@ -0,0 +1,160 @@
+package announcer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"almondpick/gossiper"
+)
+
+// pair is two instances that targets announce themselves to, and what each has told all.
+type pair struct {
+	a, b   *Registry
+	toA    spreader // what b has told
+	toB    spreader // what a has told
+	aAlive bool
+}
+
+func newPair() *pair {
+	p := &pair{a: NewRegistry("i1"), b: NewRegistry("i2"), aAlive: true}
+	return p
+}
+
+// exchange delivers what is on its way, and has both do what is due.
+func (p *pair) exchange(now time.Duration) {
+	if p.aAlive {
+		p.a.Tick(now, alive, &p.toB)
+	}
+	p.b.Tick(now, func(name string) bool { return name != "i1" || p.aAlive }, &p.toA)
+	for _, r := range p.toB.records[p.toB.delivered:] {
+		p.b.Learn(now, r)
+	}
+	p.toB.delivered = len(p.toB.records)
+	if !p.aAlive {
+		return
+	}
+	for _, r := range p.toA.records[p.toA.delivered:] {
+		p.a.Learn(now, r)
+	}
+	p.toA.delivered = len(p.toA.records)
+	for _, r := range p.toA.relayed {
+		p.a.HeardElsewhere(now, r)
+	}
+	p.toA.relayed = nil
+}
+
+// A target whose announcements go to another instance from now on is the same target:
+// that is no news to all, and the instance that it began at does not lose it.
+func TestAnotherHomeIsNoNews(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	is.NoErr(p.a.Announce(0, announcement(1, nil), &p.toB))
+	p.exchange(0)
+	sequence := uint64(1)
+	for now := second; now < 30*second; now += second / 4 {
+		if now%second == 0 {
+			sequence++
+			is.NoErr(p.b.Announce(now, announcement(sequence, nil), &p.toA))
+		}
+		p.exchange(now)
+		is.True(only(p.a).Fit(now))
+		is.True(only(p.b).Fit(now))
+	}
+	is.Equal(len(p.toB.records), 1)
+	is.Equal(len(p.toA.records), 0)
+
+	// It falls silent. The instance that it began at tells all.
+	for now := 30 * second; now < 30*second+LostAfter+second; now += second / 4 {
+		p.exchange(now)
+	}
+	is.True(only(p.a).Lost)
+	is.True(only(p.b).Lost)
+	is.Equal(len(p.toB.records), 2)
+}
+
+// The instance that a target began at has ended. The one that hears of the target now
+// tells all, before anybody takes the target for lost.
+func TestTheHomeMovesWhenTheOldOneIsGone(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	is.NoErr(p.a.Announce(0, announcement(1, nil), &p.toB))
+	p.exchange(0)
+	far := NewRegistry("i3")
+	far.Learn(0, p.toB.records[0])
+	p.aAlive = false
+	sequence := uint64(1)
+	for now := second; now < 15*second; now += second / 4 {
+		if now%second == 0 {
+			sequence++
+			is.NoErr(p.b.Announce(now, announcement(sequence, nil), &p.toA))
+		}
+		p.exchange(now)
+		for _, r := range p.toA.records {
+			far.Learn(now, r)
+		}
+		far.Tick(now, func(name string) bool { return name != "i1" }, &spreader{})
+		is.True(only(far).Fit(now))
+	}
+	is.Equal(len(p.toA.records), 1)
+	is.Equal(only(far).Home, "i2")
+}
+
+// A restart of the first instance within a second or two is no news of any target.
+func TestAShortRestartOfTheHomeIsNoNews(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	is.NoErr(p.a.Announce(0, announcement(1, nil), &p.toB))
+	p.exchange(0)
+	p.aAlive = false
+	is.NoErr(p.b.Announce(second, announcement(2, nil), &p.toA))
+	p.exchange(second)
+	p.exchange(2 * second)
+	p.aAlive = true
+	p.a = NewRegistry("i1")
+	p.a.Learn(2*second, p.toB.records[0]) // from its disk, or from others
+	for n := uint64(3); n < 12; n++ {
+		now := time.Duration(n) * second
+		is.NoErr(p.b.Announce(now, announcement(n, nil), &p.toA))
+		p.exchange(now)
+		is.True(only(p.a).Fit(now))
+	}
+	is.Equal(len(p.toA.records), 0)
+}
+
+// The first instance cannot be told that the target goes on elsewhere, and takes it for
+// lost. Whoever hears from the target says that it is there, at once.
+func TestAFalseLossIsRefuted(t *testing.T) {
+	is := is.New(t)
+	home, told := NewRegistry("i1"), &spreader{}
+	is.NoErr(home.Announce(0, announcement(1, nil), told))
+	r, said := NewRegistry("i2"), &spreader{}
+	r.Learn(0, told.records[0])
+	is.NoErr(r.Announce(3*second, announcement(4, nil), said))
+	home.Tick(LostAfter+second, alive, told)
+	is.Equal(told.records[1].Rank, gossiper.RankSuspect)
+	far := NewRegistry("i3")
+	far.Learn(0, told.records[0])
+	far.Learn(4*second, told.records[1])
+	is.True(only(far).Lost)
+
+	r.Learn(4*second, told.records[1])
+	is.True(only(r).Fit(4 * second))
+	r.Tick(4*second, alive, said)
+	is.Equal(len(said.records), 1)
+	far.Learn(4*second, said.records[0])
+	is.True(only(far).Fit(4 * second))
+}
+
+// What changes at the same time as the home is news all the same.
+func TestADepartureAtAnotherHomeIsNews(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	is.NoErr(p.a.Announce(0, announcement(1, nil), &p.toB))
+	p.exchange(0)
+	is.NoErr(p.b.Announce(second, announcement(2, func(a *Announcement) { a.State = Draining }), &p.toA))
+	p.exchange(second)
+	is.True(!only(p.a).Fit(second))
+	is.Equal(only(p.a).Home, "i2")
+}
--- a/announcer/identity.go
+++ b/announcer/identity.go
@@ -23,7 +23,7 @@
 		a.Sequence++
 		r.take(now, a, r.self, false)
 		p.Announce(r.record(a, gossiper.RankOwn))
-		delete(r.home, a.Endpoint)
+		delete(r.heard, a.Endpoint)
 		return at, true
 	}
 	return at, ok
--- /dev/null
+++ b/announcer/registry.go
@@ -0,0 +1,344 @@
+package announcer
+
+import (
+	"net/netip"
+	"time"
+
+	"almondpick/gossiper"
+)
+
+// Target is what an instance believes of a target.
+type Target struct {
+	Announcement
+	Home  string        // instance that watches it for all others
+	Lost  bool          // it stopped announcing itself
+	Since time.Duration // of its present job and state
+	Fence time.Duration // until then it takes no work: the endpoint changed its job
+	Seen  time.Duration // when this was last heard of
+	// spread is the sequence of the record that all others know. Sequence is later where the
+	// target has announced itself here since.
+	spread uint64
+}
+
+// spreadAnnouncement returns the announcement that all others know.
+func (t Target) spreadAnnouncement() Announcement {
+	a := t.Announcement
+	a.Sequence = t.spread
+	return a
+}
+
+// Name returns the identity of the target among the targets of a service.
+func (t Target) Name() string {
+	return t.Endpoint.String()
+}
+
+// Publisher spreads records.
+type Publisher interface {
+	// Announce tells everybody.
+	Announce(r gossiper.Record) bool
+	// Relay tells one instance that the targets with these keys go on.
+	Relay(home string, records []gossiper.Record)
+}
+
+// Registry holds the targets as one instance knows them. It belongs to the
+// control goroutine.
+//
+// The instance that a target first announced itself to is its home: all others rely on it
+// to notice that the target falls silent. A target is free to go on announcing itself to
+// another instance, after a lost answer or a restart of its home. That changes nothing for
+// anybody else, so it is no news: the other instance lets the home know that it hears the
+// target, and becomes its home only when the old one stays out of reach.
+type Registry struct {
+	self      string
+	targets   map[netip.AddrPort]*Target
+	heard     map[netip.AddrPort]local // targets that announce themselves here, or are watched here
+	forgotten []string
+	revision  uint64
+	changed   func(t Target)
+}
+
+// local is what an instance keeps of a target that announces itself to it, or whose home
+// it is.
+type local struct {
+	heard     time.Duration
+	published time.Duration
+	relayed   time.Duration // when the home was last told that the target goes on
+	homeless  time.Duration // since when the home is out of reach; 0 while it is not
+	refute    bool          // it was declared lost by an instance that did not hear it
+}
+
+// Option sets a property of a Registry.
+type Option func(*Registry)
+
+// WithChanges has f called with every change of what is believed of a target.
+func WithChanges(f func(t Target)) Option {
+	return func(r *Registry) { r.changed = f }
+}
+
+// NewRegistry returns an empty registry of the instance self.
+func NewRegistry(self string, opts ...Option) *Registry {
+	r := &Registry{
+		self:    self,
+		targets: make(map[netip.AddrPort]*Target),
+		heard:   make(map[netip.AddrPort]local),
+		changed: func(Target) {},
+	}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// Revision rises whenever a target changes in a way that decisions rest on.
+func (r *Registry) Revision() uint64 {
+	return r.revision
+}
+
+// Forgotten returns the keys of records that need not be kept any more.
+func (r *Registry) Forgotten() []string {
+	keys := r.forgotten
+	r.forgotten = nil
+	return keys
+}
+
+// Len returns the number of targets that are known.
+func (r *Registry) Len() int {
+	return len(r.targets)
+}
+
+// Targets calls f for every target.
+func (r *Registry) Targets(f func(Target)) {
+	for _, t := range r.targets {
+		f(*t)
+	}
+}
+
+// Announce takes in what a target says of itself here, and spreads it where it is
+// news. It returns a *FieldError for bad content.
+func (r *Registry) Announce(now time.Duration, a Announcement, p Publisher) error {
+	if err := a.Validate(); err != nil {
+		return err
+	}
+	old := r.targets[a.Endpoint]
+	if old != nil && older(a, old.Announcement) {
+		return nil
+	}
+	l := r.heard[a.Endpoint]
+	l.heard = now
+	if r.worthSpreading(now, a, old, l) {
+		l = local{heard: now, published: now}
+		r.take(now, a, r.self, false)
+		p.Announce(r.record(a, gossiper.RankOwn))
+	} else {
+		old.Connections, old.Running, old.Load, old.Sequence = a.Connections, a.Running, a.Load, a.Sequence
+		old.Seen = now
+	}
+	r.heard[a.Endpoint] = l
+	return nil
+}
+
+// older tells whether a says less than b does. A target that is named by an identity
+// does not come back from its end; what still arrives was sent before.
+func older(a, b Announcement) bool {
+	if b.State == Gone && b.Identity != 0 && a.Incarnation == b.Incarnation && a.State != Gone {
+		return true
+	}
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation < b.Incarnation
+	}
+	return a.Sequence < b.Sequence
+}
+
+func (r *Registry) worthSpreading(now time.Duration, a Announcement, old *Target, l local) bool {
+	if old == nil || old.Lost {
+		return true
+	}
+	if a.Job != old.Job || a.State != old.State || a.Slots != old.Slots || a.Incarnation != old.Incarnation {
+		return true
+	}
+	const significant = 0.25 // of the load scale
+	changed := a.Load-old.Load > significant || old.Load-a.Load > significant
+	return changed && now-l.published >= RepublishLoad
+}
+
+func (r *Registry) record(a Announcement, rank gossiper.Rank) gossiper.Record {
+	return record(a, r.self, rank)
+}
+
+// Learn takes in a record that gossip brought. Damaged ones are left out.
+func (r *Registry) Learn(now time.Duration, rec gossiper.Record) {
+	a, home, ok := read(rec)
+	if !ok {
+		return
+	}
+	old := r.targets[a.Endpoint]
+	lost := rec.Rank != gossiper.RankOwn
+	if old == nil && lost {
+		r.forgotten = append(r.forgotten, rec.Key)
+		return
+	}
+	if lost && r.refutes(now, a) {
+		return
+	}
+	if old != nil && older(a, old.spreadAnnouncement()) {
+		return
+	}
+	if old != nil && old.Home == home && old.spread == a.Sequence && old.Incarnation == a.Incarnation && old.Lost == lost {
+		return
+	}
+	r.watch(now, a, home, lost)
+	r.take(now, a, home, lost)
+}
+
+// refutes tells whether this instance has heard itself, a moment ago, from a target that
+// another one takes for lost. All others are told so with the next tick.
+func (r *Registry) refutes(now time.Duration, a Announcement) bool {
+	t := r.targets[a.Endpoint]
+	l, ok := r.heard[a.Endpoint]
+	if !ok || t.Lost || t.Incarnation != a.Incarnation || t.Sequence <= a.Sequence || now-l.heard >= LostAfter {
+		return false
+	}
+	l.refute = true
+	r.heard[a.Endpoint] = l
+	return true
+}
+
+// watch notes whether a target that gossip told of is watched here. An instance that was
+// its home before a restart watches it again: nobody else would notice that it has ended
+// meanwhile.
+func (r *Registry) watch(now time.Duration, a Announcement, home string, lost bool) {
+	l, ok := r.heard[a.Endpoint]
+	old := r.targets[a.Endpoint]
+	switch {
+	case lost || a.State == Gone || (old != nil && old.Incarnation != a.Incarnation):
+		delete(r.heard, a.Endpoint)
+	case ok:
+		l.homeless = 0
+		r.heard[a.Endpoint] = l
+	}
+	if home == r.self && !lost && a.State != Gone {
+		r.heard[a.Endpoint] = local{heard: now, published: now}
+	}
+}
+
+// HeardElsewhere takes in the word of another instance that it hears a target whose home
+// is this one.
+func (r *Registry) HeardElsewhere(now time.Duration, rec gossiper.Record) {
+	at, ok := EndpointOf(rec.Key)
+	if !ok {
+		return
+	}
+	t := r.targets[at]
+	l, ok := r.heard[at]
+	if ok && t.Home == r.self && t.Incarnation == rec.Incarnation {
+		l.heard = now
+		r.heard[at] = l
+	}
+}
+
+// take makes a the present state of its endpoint. An endpoint that comes back
+// under another job gets no work until every instance can have heard of it, unless
+// packets name the target that they are meant for.
+func (r *Registry) take(now time.Duration, a Announcement, home string, lost bool) {
+	old := r.targets[a.Endpoint]
+	t := &Target{Announcement: a, Home: home, Lost: lost, Since: now, Seen: now, spread: a.Sequence}
+	if old != nil {
+		if old.Incarnation == a.Incarnation {
+			t.Sequence = max(a.Sequence, old.Sequence)
+		}
+		t.Since = old.Since
+		t.Fence = old.Fence
+		if old.Job != a.Job && a.Identity == 0 {
+			t.Fence = now + Quarantine
+		}
+		if old.Job != a.Job || old.State != a.State || old.Lost != lost || old.Incarnation != a.Incarnation {
+			t.Since = now
+		}
+	}
+	r.targets[a.Endpoint] = t
+	r.revision++
+	r.changed(*t)
+}
+
+// Tick declares targets lost that have stopped announcing themselves, lets the homes of
+// others know that they go on, and forgets those that have been lost for long. alive tells
+// whether an instance is.
+func (r *Registry) Tick(now time.Duration, alive func(instance string) bool, p Publisher) {
+	relays := make(map[string][]gossiper.Record)
+	for endpoint, l := range r.heard {
+		t := r.targets[endpoint]
+		switch {
+		case t == nil:
+			delete(r.heard, endpoint)
+		case now-l.heard >= LostAfter:
+			delete(r.heard, endpoint)
+			if t.Home == r.self {
+				r.publish(now, t.Announcement, true, p)
+			}
+		case t.Home != r.self || l.refute:
+			r.heard[endpoint] = r.attend(now, t, l, alive, relays, p)
+		}
+	}
+	for home, records := range relays {
+		p.Relay(home, records)
+	}
+	r.forget(now, alive)
+}
+
+// attend does what is due for a target that is heard here and whose home is another
+// instance, or that others take for lost.
+func (r *Registry) attend(now time.Duration, t *Target, l local, alive func(string) bool, relays map[string][]gossiper.Record, p Publisher) local {
+	reachable := alive(t.Home)
+	switch {
+	case reachable:
+		l.homeless = 0
+	case l.homeless == 0:
+		l.homeless = max(now, 1)
+	}
+	if l.refute || (!reachable && now-l.homeless >= RehomeAfter) {
+		r.publish(now, t.Announcement, false, p)
+		return local{heard: l.heard, published: now}
+	}
+	if reachable && l.heard > l.relayed {
+		l.relayed = l.heard
+		key := gossiper.TargetPrefix + t.Endpoint.String()
+		relays[t.Home] = append(relays[t.Home], gossiper.Record{Key: key, Incarnation: t.Incarnation, Sequence: t.Sequence})
+	}
+	return l
+}
+
+// publish makes this instance the home of a target and tells everybody what it knows.
+func (r *Registry) publish(now time.Duration, a Announcement, lost bool, p Publisher) {
+	rank := gossiper.RankOwn
+	if lost {
+		rank = gossiper.RankSuspect
+	}
+	r.take(now, a, r.self, lost)
+	p.Announce(r.record(a, rank))
+}
+
+// forget drops what has been lost for long, and takes for lost what neither this instance
+// nor a home in reach has seen.
+func (r *Registry) forget(now time.Duration, alive func(instance string) bool) {
+	for endpoint, t := range r.targets {
+		if t.Home == r.self || alive(t.Home) {
+			t.Seen = now
+		}
+		if !t.Lost && now-t.Seen >= LostAfter+2*Interval {
+			t.Lost = true
+			t.Since = now
+			r.revision++
+			r.changed(*t)
+		}
+		if t.Lost && now-t.Since >= ForgetAfter {
+			delete(r.targets, endpoint)
+			r.forgotten = append(r.forgotten, gossiper.TargetPrefix+endpoint.String())
+			r.revision++
+		}
+	}
+}
+
+// Fit tells whether a target takes new work.
+func (t Target) Fit(now time.Duration) bool {
+	return !t.Lost && (t.State == Serving || t.State == Cold) && now >= t.Fence
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -333,6 +333,9 @@
 			c.registry.Learn(now, c.correct(r))
 		}
 	}
+	for _, r := range c.gossip.HeardOf() {
+		c.registry.HeardElsewhere(now, r)
+	}
 	for _, key := range c.registry.Forgotten() {
 		c.gossip.Forget(key)
 	}
--- a/gossiper/catchup.go
+++ b/gossiper/catchup.go
@@ -42,6 +42,25 @@
 	}
 }
 
+// Relay tells one member that what the keys of the records name goes on. That is no news
+// for others, and the records need no body.
+func (g *Gossiper) Relay(to string, records []Record) {
+	m, ok := g.members[to]
+	if !ok || !m.Alive() {
+		return
+	}
+	for _, batch := range datagrams(records) {
+		g.send(m.Peer, Message{Kind: KindHeard, Records: batch})
+	}
+}
+
+// HeardOf returns what other instances have relayed since the last call.
+func (g *Gossiper) HeardOf() []Record {
+	list := g.heardOf
+	g.heardOf = nil
+	return list
+}
+
 // All returns every record that is held, for an instance that catches up.
 func (g *Gossiper) All() []Record {
 	out := make([]Record, 0, len(g.store.records))
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -90,6 +90,7 @@
 	revision    uint64
 	urgent      []string // keys of records announced here since the last tick
 	news        []Record
+	heardOf     []Record // that other instances hear from
 	out         []Envelope
 }
 
@@ -354,12 +355,7 @@
 	if m.From == g.self.Name {
 		return nil
 	}
-	for _, r := range m.Records {
-		g.accept(now, r)
-		if m.Kind == KindNews {
-			g.store.told(r, g.aliveCount())
-		}
-	}
+	g.takeIn(now, m)
 	if sender, ok := g.members[m.From]; ok {
 		sender.LastContact = now
 		g.heard(sender, m.Version)
@@ -379,6 +375,20 @@
 	return g.flush()
 }
 
+// takeIn takes in the records of a message.
+func (g *Gossiper) takeIn(now time.Duration, m Message) {
+	if m.Kind == KindHeard {
+		g.heardOf = append(g.heardOf, m.Records...)
+		return
+	}
+	for _, r := range m.Records {
+		g.accept(now, r)
+		if m.Kind == KindNews {
+			g.store.told(r, g.aliveCount())
+		}
+	}
+}
+
 // compare asks for the records that differ when the sender's digest is another one.
 // Rumours that are under way may explain it, so a known sender is asked only now and
 // then; it is asked even so, because rumours may never end.
