requester: late second answers, broken-off answers, retries and planned stops tell the truth

Four of the cases that operators of similar systems had were possible at the request door; each has a test that failed first.

Late second answer: connections to targets were kept for requests that may be repeated. A second copy of an answer that came with the next request went to that one's caller (20 of 20 requests but the first). Now each request to a target has a connection of its own. Ruled out: discarding what is there before a request is sent (the copy may come later), and numbering requests (targets need not return a number). Costs a connection a request, as requests that may not be repeated always did.

Broken-off answer: one without a length or chunks ends with its connection, so half of it looked whole. Such an answer is refused as "no-length", outcome ran.

"Not run" after a retry: work that may be repeated ran at a target whose answer was lost, the retry was shed, and the caller was told not-run. After a try that may have run the outcome is unknown.

Planned stop: the listener was closed at once; 3,635 requests of callers who had not yet turned away were cut in 100 ms.

--- a/requester/dispatch.go
+++ b/requester/dispatch.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -46,15 +47,16 @@
 	if err != nil {
 		return nil, err
 	}
-	avoid := ""
+	avoid, ran := "", false
 	for try := 1; ; try++ {
 		begun := t.door.now()
 		s, err := t.door.pools.acquire(r.Context(), poolName(c.service.Jobs), c.service.Tenant, avoid, c.deadline)
 		if err != nil {
-			return nil, beforeStart(err)
+			return nil, afterTries(beforeStart(err), ran)
 		}
 		t.door.observer.Waited(c.service.Tenant, c.service.Class, s.begun-begun)
 		response, again, err := t.send(r, body, c, s)
+		ran = ran || mayHaveRun(response, err)
 		if again && try < maxTries && body.rewindable() {
 			if response != nil {
 				response.Body.Close()
@@ -62,7 +64,38 @@
 			avoid = s.target
 			continue
 		}
-		return response, err
+		if response != nil && ran {
+			withdrawNotRun(response)
+		}
+		return response, afterTries(err, ran)
+	}
+}
+
+// mayHaveRun tells whether a try may have had the work run by a target.
+func mayHaveRun(response *http.Response, err error) bool {
+	if err == nil {
+		return response.Header.Get(HeaderOutcome) != string(OutcomeNotRun)
+	}
+	var p *Problem
+	return !errors.As(err, &p) || p.Outcome != OutcomeNotRun
+}
+
+// afterTries keeps the error of the last try from saying "not-run" of work that an earlier
+// one may have had run.
+func afterTries(err error, ran bool) error {
+	var p *Problem
+	if !ran || !errors.As(err, &p) || p.Outcome != OutcomeNotRun {
+		return err
+	}
+	said := *p
+	said.Outcome = OutcomeUnknown
+	return &said
+}
+
+// withdrawNotRun does the same for the answer of a target that shed the last try.
+func withdrawNotRun(response *http.Response) {
+	if response.Header.Get(HeaderOutcome) == string(OutcomeNotRun) {
+		response.Header.Set(HeaderOutcome, string(OutcomeUnknown))
 	}
 }
 
@@ -90,7 +123,7 @@
 	out.URL.Host = target.Request.String()
 	out.Body = body.reader()
 	setTimeout(out, c.deadline-t.door.now())
-	response, err := t.door.targets.RoundTrip(out, c.repeatable)
+	response, err := t.door.targets.RoundTrip(out)
 	if err != nil {
 		s.finish(resultOf(r.Context()))
 		if !wrote.Load() {
@@ -105,11 +138,24 @@
 		s.finish(dispatcher.ResultShed)
 		return response, true, nil
 	}
+	if endsWithConnection(r.Method, response) {
+		response.Body.Close()
+		s.finish(dispatcher.ResultError)
+		t.door.log.Info("answer-without-length", "service", c.service.Name, "target", s.target, "status", response.StatusCode)
+		return nil, false, noLength()
+	}
 	response.Header.Set(HeaderOutcome, string(OutcomeRan))
 	response.Body = &slotBody{ReadCloser: response.Body, slot: s, failed: response.StatusCode >= targetErrors}
 	return response, false, nil
 }
 
+// endsWithConnection tells whether an answer has neither a length nor an end of its own,
+// so that one which broke off looks like a whole one.
+func endsWithConnection(method string, response *http.Response) bool {
+	bodiless := method == http.MethodHead || response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
+	return !bodiless && response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
+}
+
 // resultOf keeps a caller that went away from counting against the target.
 func resultOf(ctx context.Context) dispatcher.Result {
 	if ctx.Err() != nil {
--- a/requester/peer.go
+++ b/requester/peer.go
@@ -11,7 +11,7 @@
 // peerTransport carries requests to other instances and tells failures in which
 // nothing was sent from those in which something may have been.
 type peerTransport struct {
-	transport *transports
+	transport *peerTransports
 }
 
 // RoundTrip implements http.RoundTripper. Its errors are *Problem or those of the
--- a/requester/problem.go
+++ b/requester/problem.go
@@ -96,6 +96,11 @@
 	return p
 }
 
+func noLength() *Problem {
+	return problem("no-length", "The target answered without a length; nothing shows whether the answer is whole",
+		http.StatusBadGateway, OutcomeRan)
+}
+
 func timedOut(o Outcome) *Problem {
 	return problem("timeout", "The request did not end in time", http.StatusGatewayTimeout, o)
 }
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -115,8 +115,8 @@
 
 	view      atomic.Pointer[compiled]
 	pools     *pools
-	targets   *transports
-	peers     *transports
+	targets   *http.Transport
+	peers     *peerTransports
 	pool      *ants.Pool
 	server    *http.Server
 	ticketMu  sync.Mutex
@@ -125,6 +125,8 @@
 	frozen    bool // while the tables are handed over
 	thawed    *sync.Cond
 	successor atomic.Pointer[string]
+	leaving   atomic.Bool
+	lastWork  atomic.Int64 // when a connection was last opened or a request begun, after start
 	done      chan struct{}
 	loops     sync.WaitGroup
 }
@@ -168,8 +170,8 @@
 		maxBody:     DefaultBody,
 		tables:      make(map[string]*issuer.Table),
 		done:        make(chan struct{}),
-		targets:     newTransports(),
-		peers:       newTransports(),
+		targets:     newTargetTransport(),
+		peers:       newPeerTransports(),
 	}
 	for _, o := range opts {
 		o(d)
@@ -185,6 +187,7 @@
 	d.pool = pool
 	d.server = &http.Server{
 		Handler:           http.HandlerFunc(d.accept),
+		ConnState:         d.noteConn,
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    headerBytes,
@@ -235,18 +238,11 @@
 	}
 }
 
-// Shutdown stops taking requests and waits until those in progress have ended. It
-// returns the error of ctx when that ends first.
-func (d *Door) Shutdown(ctx context.Context) error {
-	return d.server.Shutdown(ctx)
-}
-
 // Close cuts what is still in progress and waits for the goroutines of the door.
 func (d *Door) Close() error {
 	err := d.server.Close()
 	close(d.done)
 	d.loops.Wait()
-	d.targets.kept.CloseIdleConnections()
 	d.peers.kept.CloseIdleConnections()
 	d.pool.Release()
 	return err
@@ -301,6 +297,9 @@
 // accept runs a request on a worker of the pool. The proxy cuts an answer that it
 // cannot complete by a panic, which has to come from the goroutine of the server.
 func (d *Door) accept(w http.ResponseWriter, r *http.Request) {
+	if d.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	finished := make(chan any, 1)
 	err := d.pool.Submit(func() {
 		defer func() { finished <- recover() }()
