server: a planned stop of a store answers the calls under way

Cause: at SIGTERM the HTTP doors of a store were closed at once. An order that was being committed, or a target's departure that was being recorded, got no answer.

Ruled out: waiting as an entry does until nothing more comes (callers pick stores from a list that lags by seconds; they go on to the next store when the door no longer listens).

Change: doors take no new calls and those under way get up to a second, as long as their callers wait, while the control state still runs. Entries have no such calls and stop as before.

--- a/server/node.go
+++ b/server/node.go
@@ -31,6 +31,7 @@
 	nodeElection  = 800 * time.Millisecond
 	headerTimeout = 2 * time.Second
 	stopReserve   = time.Second // before the kill that follows a wish to stop
+	finishTime    = time.Second // that calls under way get at a planned stop, no more than their callers wait
 	datagramSize  = 64 << 10    // bytes
 )
 
@@ -265,11 +266,32 @@
 	if n.flow != nil {
 		n.leaveRotation(ctx)
 	}
+	if n.set.OperatorAddress != "" {
+		n.finishCalls(ctx)
+	}
 	err := n.Close()
 	n.log.Info("stopped", "instance", n.set.Name)
 	return err
 }
 
+// finishCalls takes no more calls at the HTTP doors and waits until those under way have
+// been answered, while all that they need still runs.
+func (n *Node) finishCalls(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, finishTime)
+	defer cancel()
+	var doors sync.WaitGroup
+	for _, s := range n.web {
+		doors.Add(1)
+		go func() {
+			defer doors.Done()
+			if err := s.Shutdown(ctx); err != nil {
+				n.log.Warn("calls-cut", "error", err)
+			}
+		}()
+	}
+	doors.Wait()
+}
+
 // Close stops the instance at once.
 func (n *Node) Close() error {
 	var errs []error
