requester, server: a handover of tickets that breaks off leaves one issuer

Cause: a successor acted on each part of a ticket table as it came.

Ruled out: having the successor forget on a second message (that one may be lost too).

Change: parts are staged, and in use from the final part on. Once the final part is under way the door that stops is in charge no more, whatever it hears; if the part was lost, callers are told "unknown". The handover is in a file of its own.

Tests: TestAHandoverThatBreaksOffLeavesOneIssuer (failed first), TestAHandoverWhoseEndIsUnknownLeavesOneIssuer.

--- a/messenger/calls.go
+++ b/messenger/calls.go
@@ -96,10 +96,21 @@
 	Fingerprint string `cbor:"fingerprint"`
 }
 
-// TicketHandover passes a part of a ticket table to a successor.
+// TicketHandover passes a part of a ticket table to a successor, which acts on none of a
+// handover's tables before the final part.
 type TicketHandover struct {
+	ID      string         `cbor:"id"`    // of the handover
 	Owner   string         `cbor:"owner"` // the issuing process
 	Records []TicketRecord `cbor:"records"`
+	Final   bool           `cbor:"final"`
+}
+
+// Validate returns a *gossiper.FieldError for a handover without a name.
+func (h TicketHandover) Validate() error {
+	if h.ID == "" || len(h.ID) > gossiper.MaxKey {
+		return &gossiper.FieldError{Field: "id", Value: len(h.ID)}
+	}
+	return nil
 }
 
 // PlanRequest names a plan.
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -124,6 +124,8 @@
 	running   int  // work with tickets
 	frozen    bool // while the tables are handed over
 	thawed    *sync.Cond
+	staged    []staged // handovers from others that are not finished
+	handovers int      // of this door, begun
 	successor atomic.Pointer[string]
 	leaving   atomic.Bool
 	lastWork  atomic.Int64 // when a connection was last opened or a request begun, after start
--- a/requester/tickets.go
+++ b/requester/tickets.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"almondpick/issuer"
-	"almondpick/messenger"
 )
 
 // TicketAnswer is the body of the answer to POST /v1/tickets.
@@ -78,50 +77,6 @@
 	}
 }
 
-// Freeze keeps new work with tickets waiting, and waits until none is running. It
-// returns the error of ctx when that ends first; what still runs then goes to the
-// successor as unknown.
-func (d *Door) Freeze(ctx context.Context) error {
-	d.setFrozen(true)
-	ticks, stop := d.clock.Ticker(expireEvery)
-	defer stop()
-	for {
-		d.ticketMu.Lock()
-		left := d.running
-		d.ticketMu.Unlock()
-		if left == 0 {
-			return nil
-		}
-		select {
-		case <-ticks:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-func (d *Door) setFrozen(on bool) {
-	d.ticketMu.Lock()
-	defer d.ticketMu.Unlock()
-	d.frozen = on
-	d.thawed.Broadcast()
-}
-
-// HandedOver forgets the ticket tables, which the door at the given address holds
-// from now on, and passes the requests there that have waited since Freeze.
-func (d *Door) HandedOver(to string) {
-	d.ticketMu.Lock()
-	clear(d.tables)
-	d.ticketMu.Unlock()
-	d.successor.Store(&to)
-	d.setFrozen(false)
-}
-
-// Thaw lets work with tickets go on here after a handover that failed.
-func (d *Door) Thaw() {
-	d.setFrozen(false)
-}
-
 // withTicket serves a request that may run at most once.
 func (d *Door) withTicket(w http.ResponseWriter, r *http.Request, s Service, text string) {
 	t, err := d.signer.Parse(text)
@@ -305,53 +260,6 @@
 	_, _ = w.Write(r.body.Bytes())
 }
 
-// handoverPart bounds one message of a handover.
-const handoverPart = 1 << 20 // bytes
-
-// Tables returns the ticket tables in the form of handover messages.
-func (d *Door) Tables() []messenger.TicketHandover {
-	d.ticketMu.Lock()
-	defer d.ticketMu.Unlock()
-	var out []messenger.TicketHandover
-	for owner, table := range d.tables {
-		part := messenger.TicketHandover{Owner: owner}
-		size := 0
-		for _, row := range table.Export() {
-			part.Records = append(part.Records, messenger.TicketRecord{
-				Sequence: row.Sequence, State: uint8(row.State), Status: row.Answer.Status, Header: row.Answer.Header,
-				Body: row.Answer.Body, Whole: row.Answer.Whole, Fingerprint: row.Fingerprint,
-			})
-			size += len(row.Answer.Body) + len(row.Answer.Header)
-			if size > handoverPart {
-				out = append(out, part)
-				part = messenger.TicketHandover{Owner: owner}
-				size = 0
-			}
-		}
-		out = append(out, part)
-	}
-	return out
-}
-
-// TakeTables takes over a part of another instance's ticket table.
-func (d *Door) TakeTables(h *messenger.TicketHandover) {
-	var rows []issuer.Row
-	for _, r := range h.Records {
-		rows = append(rows, issuer.Row{
-			Sequence: r.Sequence, State: issuer.State(r.State), Fingerprint: r.Fingerprint,
-			Answer: issuer.Answer{Status: r.Status, Header: r.Header, Body: r.Body, Whole: r.Whole},
-		})
-	}
-	d.ticketMu.Lock()
-	defer d.ticketMu.Unlock()
-	table := d.tables[h.Owner]
-	if table == nil {
-		table = issuer.NewTable()
-		d.tables[h.Owner] = table
-	}
-	table.Import(d.now(), rows)
-}
-
 // ticketOf returns the ticket that a request carries, or "".
 func ticketOf(r *http.Request) string {
 	if t := r.Header.Get(HeaderKey); t != "" {
--- a/server/server.go
+++ b/server/server.go
@@ -315,20 +315,23 @@
 	owners := make(map[string]bool)
 	for _, part := range s.door.Tables() {
 		owners[part.Owner] = true
-		if err := s.transport.TakeTickets(ctx, m.RPC, &part); err != nil {
+		err := s.transport.TakeTickets(ctx, m.RPC, &part)
+		if err != nil && !part.Final {
 			s.door.Thaw()
 			return err
 		}
-	}
-	for owner := range owners {
-		if err := s.control.HandOver(ctx, owner, m.Name); err != nil {
-			s.door.Thaw()
-			return err
+		if err != nil {
+			s.log.Warn("handover-unclear", "to", m.Name, "error", err)
 		}
 	}
+	// From here on the successor may act on the tables, so this instance must not.
 	s.door.HandedOver(m.Request)
 	s.log.Info("tickets-handed-over", "to", m.Name, "issuers", len(owners))
-	return nil
+	var errs []error
+	for owner := range owners {
+		errs = append(errs, s.control.HandOver(ctx, owner, m.Name))
+	}
+	return errors.Join(errs...)
 }
 
 // Close stops the instance at once.
