gossiper, controller: seeds are asked quickly for a second; periodic work in files by concern

The number was wrong, not the doubling: the reads of all records were what swamped the stores.

The split moves code only.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -61,7 +61,7 @@
 // Times of the control goroutine.
 const (
 	tickEvery     = 50 * time.Millisecond
-	choresEvery   = 250 * time.Millisecond
+	periodicEvery   = 250 * time.Millisecond
 	probation     = 1500 * time.Millisecond
 	readyAnyway   = 3 * time.Second
 	fetchTimeout  = 2 * time.Second
@@ -133,7 +133,7 @@
 	cutSince   time.Time
 	fitSince   map[string]fitState
 	ranks      map[string]memberRank // of members, as they were last logged
-	nextSlow   time.Duration
+	nextPeriodic   time.Duration
 	seen       revisions
 	gatherTo   time.Duration // news of targets waits until then
 
@@ -322,9 +322,9 @@
 	if c.voter != nil && c.voterErr == nil {
 		c.voter.Tick(now)
 	}
-	if now >= c.nextSlow {
-		c.nextSlow = now + choresEvery
-		c.chores(now)
+	if now >= c.nextPeriodic {
+		c.nextPeriodic = now + periodicEvery
+		c.periodic(now)
 	}
 }
 
--- /dev/null
+++ b/controller/fetch.go
@@ -0,0 +1,73 @@
+package controller
+
+import (
+	"context"
+
+	"almondpick/messenger"
+)
+
+// fetchNewer reads the configuration from a member that has a newer one. Members
+// learn of versions by gossip, so a change spreads from instance to instance and
+// no instance has to serve all others.
+func (c *Controller) fetchNewer() {
+	if c.fetching || c.inLog() {
+		return
+	}
+	best, ok := c.gossip.Newest()
+	if !ok || best.Version <= c.machine.Config().Version {
+		return
+	}
+	c.fetching = true
+	after := c.machine.Index()
+	c.background(fetchTimeout, func(ctx context.Context) func() {
+		reply, err := c.transport.Fetch(ctx, best.RPC, after)
+		return func() {
+			c.fetching = false
+			if err != nil {
+				c.log.Warn("fetch-failed", "from", best.Name, "error", err)
+				return
+			}
+			c.takeFetched(best.Name, reply)
+			c.learnOn(c.now())
+		}
+	})
+}
+
+// takeFetched takes in what another instance has sent of the configuration.
+func (c *Controller) takeFetched(from string, reply *messenger.FetchReply) {
+	if len(reply.Snapshot) > 0 {
+		if err := c.restore(reply.Snapshot); err != nil {
+			c.log.Error("fetch-unreadable", "from", from, "error", err)
+			return // this position of the log has not been reached
+		}
+		c.commands = nil
+	}
+	for _, a := range reply.Commands {
+		c.applyCommand(a)
+	}
+	c.machine.Skip(reply.Index)
+}
+
+// restore replaces the state by a packed one from another instance.
+func (c *Controller) restore(packed []byte) error {
+	plain, err := messenger.Unpack(packed)
+	if err != nil {
+		return err
+	}
+	before := c.machine.Config().Version
+	if err := c.machine.Restore(plain); err != nil {
+		return err
+	}
+	c.noteInForce(before)
+	return nil
+}
+
+func (c *Controller) highestVersion() uint64 {
+	var top uint64
+	for _, m := range c.gossip.Members() {
+		if m.Alive() {
+			top = max(top, m.Version)
+		}
+	}
+	return top
+}
--- /dev/null
+++ b/controller/periodic.go
@@ -0,0 +1,61 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"almondpick/announcer"
+)
+
+// periodic does what need not be done at every tick.
+func (c *Controller) periodic(now time.Duration) {
+	c.registry.Tick(now, c.homeReachable(), c.gossip)
+	c.endProbation(now)
+	c.reopen(now)
+	c.fetchNewer()
+	c.noteFences(now)
+	c.noteMembers(now)
+	c.saveTargets(now)
+	if c.set.Electorate > 0 {
+		c.noteCut()
+		c.learnOn(now)
+		c.keepElectorate(now)
+		return
+	}
+	c.noteContact()
+	c.noteReady(now)
+	if c.voter != nil && c.voterErr == nil && c.voter.Lease(now) {
+		c.registerInstances(now)
+		c.reconcileVoters(now)
+		c.moveBases(now)
+	}
+}
+
+// endProbation opens an empty data folder once the membership has had time to
+// show whether the deployment already exists. Only where it does not is
+// FirstStart followed: a voter that lost its disk must not vote as its old self.
+func (c *Controller) endProbation(now time.Duration) {
+	if !c.fresh || (now < probation && c.set.Electorate == 0) {
+		return
+	}
+	c.fresh = false
+	identity := ""
+	if c.set.FirstStart && slices.Contains(c.set.Voters, c.set.Self.Name) && c.highestVersion() == 0 {
+		identity = firstIdentity
+	}
+	if err := c.openJournal(identity); err != nil {
+		c.voterErr = err
+		c.log.Error("data-folder-unusable", "error", err)
+		return
+	}
+	c.log.Info("data-folder-made", "voter", c.voter.ID(), "first-start", identity == firstIdentity)
+}
+
+// noteFences has a new World made when the fence of a target ends.
+func (c *Controller) noteFences(now time.Duration) {
+	c.registry.Targets(func(t announcer.Target) {
+		if t.Fence > 0 && now >= t.Fence && now-t.Fence < 2*periodicEvery {
+			c.seen = revisions{}
+		}
+	})
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -37,7 +37,7 @@
 	reportTimes     = 2
 	seedPeriod      = 40 * time.Millisecond // between the first probes of seeds while nobody is known
 	seedPeriodMost  = 16 * seedPeriod       // between later ones; a whole deployment may be looking for them
-	seedQuick       = 8                     // first probes
+	seedQuick       = 25                    // first probes; processes that start together are there by then
 	everybody       = 1024                  // members that news of this instance's own goes to at once
 	newsRepeats     = 2                     // times that each receiver passes on what everybody was told
 	versionFanout   = 3                     // instances that are told of a new version at random
