controller: a store that is learning holds its answer instead of giving a part of it

The number of quick probes had no part in it.

Change: a store that is learning holds the answer until it knows the targets, 0.2 s at most, or a second when it has them on its disk and waits for a majority. An entry that knows only that store asks again after 0.1 s.

Test: TestAStoreThatLearnsHoldsItsAnswer.

--- a/controller/cache.go
+++ b/controller/cache.go
@@ -37,7 +37,6 @@
 	loaded bool // what was known before the restart has been taken in
 
 	pending []gossiper.Record // read from the disk, not taken in yet
-	settled chan struct{}     // closed once pending has been taken in or given up
 	heard   map[voter.ID]bool // voters whose departures are known
 	asked   map[voter.ID]bool // voters that are being asked
 	askAt   time.Duration     // not to be asked again before
@@ -75,7 +74,6 @@
 		return
 	}
 	c.cache.pending = append([]gossiper.Record{}, s.Records...)
-	c.cache.settled = make(chan struct{})
 	c.cache.heard = make(map[voter.ID]bool)
 	c.cache.asked = make(map[voter.ID]bool)
 	c.log.Info("target-cache-read", "age", age, "records", len(s.Records))
@@ -98,23 +96,19 @@
 		c.cache.saved = c.registry.Revision()
 		c.cache.loaded = true
 		c.log.Info("target-cache-taken", "records", len(c.cache.pending), "departures", len(c.departing.heard), "voters", len(voters))
-		c.endCache()
+		c.cache.pending = nil
+		c.noteInformed()
 		c.learnOn(now)
 		return
 	}
 	if now >= c.heardAllAt {
 		c.log.Warn("target-cache-left-out", "records", len(c.cache.pending), "voters-heard", len(c.cache.heard), "voters", len(voters))
-		c.endCache()
+		c.cache.pending = nil
 		return
 	}
 	c.askDepartures(now, voters)
 }
 
-func (c *Controller) endCache() {
-	c.cache.pending = nil
-	close(c.cache.settled)
-}
-
 // heardQuorum tells whether the departures of a majority are known, this voter included.
 func (c *Controller) heardQuorum(voters []voter.ID) bool {
 	n := 0
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -61,7 +61,7 @@
 // Times of the control goroutine.
 const (
 	tickEvery     = 50 * time.Millisecond
-	periodicEvery   = 250 * time.Millisecond
+	periodicEvery = 250 * time.Millisecond
 	probation     = 1500 * time.Millisecond
 	readyAnyway   = 3 * time.Second
 	fetchTimeout  = 2 * time.Second
@@ -115,27 +115,28 @@
 	syncMiss int           // failures in a row
 	// heardAllAt is when every target will have announced itself since the start or the
 	// last isolation.
-	heardAllAt time.Duration
-	learning   string // peer door of a store that was learning itself when it was read
-	partial    int    // answers of such stores since the last pause
-	ticked     time.Duration
-	reading    bool          // a read that confirms the configuration is under way
-	readAt     time.Duration // not to be tried again before, after a failure
-	commands   []keptCommand
-	packed     packedState
-	records    packedRecords
-	cache      targetCache
-	departing  departing
-	fetching   bool
-	ready      bool
-	confirm    bool
-	leaving    bool
-	cutSince   time.Time
-	fitSince   map[string]fitState
-	ranks      map[string]memberRank // of members, as they were last logged
-	nextPeriodic   time.Duration
-	seen       revisions
-	gatherTo   time.Duration // news of targets waits until then
+	heardAllAt   time.Duration
+	learnt       chan struct{} // closed once the targets are known; nil while nobody waits
+	learning     string        // peer door of a store that was learning itself when it was read
+	partial      int           // answers of such stores since the last pause
+	ticked       time.Duration
+	reading      bool          // a read that confirms the configuration is under way
+	readAt       time.Duration // not to be tried again before, after a failure
+	commands     []keptCommand
+	packed       packedState
+	records      packedRecords
+	cache        targetCache
+	departing    departing
+	fetching     bool
+	ready        bool
+	confirm      bool
+	leaving      bool
+	cutSince     time.Time
+	fitSince     map[string]fitState
+	ranks        map[string]memberRank // of members, as they were last logged
+	nextPeriodic time.Duration
+	seen         revisions
+	gatherTo     time.Duration // news of targets waits until then
 
 	calls  chan func()
 	done   chan struct{}
@@ -319,6 +320,7 @@
 	c.send(c.gossip.Tick(now))
 	c.learnTargets(now)
 	c.settleCache(now)
+	c.noteInformed()
 	if c.voter != nil && c.voterErr == nil {
 		c.voter.Tick(now)
 	}
--- a/controller/sync.go
+++ b/controller/sync.go
@@ -22,8 +22,13 @@
 	partialPause = time.Second
 )
 
-// cacheHold is how long the answer to a read of all records waits for those of the disk.
-const cacheHold = time.Second
+// Times for which a store that is learning holds the answer to a read of all records: until
+// it knows the targets, or so long at most. One that has them on its disk will know them as
+// soon as a majority has been heard.
+const (
+	learnHold = 200 * time.Millisecond
+	cacheHold = time.Second
+)
 
 // recordsFresh is how long packed records are given out.
 const recordsFresh = 100 * time.Millisecond
@@ -109,6 +114,9 @@
 		c.log.Info("caught-up-in-part", "from", from, "records", len(records))
 		c.learning = from
 		c.partial++
+		if next, _ := c.nearestStore(from); next == from {
+			c.syncAt = c.now() + retryEvery // no other one is known yet
+		}
 		if c.partial >= partialTries {
 			c.partial = 0
 			c.syncAt = c.now() + partialPause
@@ -118,6 +126,7 @@
 	}
 	c.synced = true
 	c.learning, c.partial = "", 0
+	c.noteInformed()
 	c.log.Info("caught-up", "from", from, "records", len(records))
 	c.learnOn(c.now())
 	return nil
@@ -130,11 +139,10 @@
 	return c.synced || c.cache.loaded || c.now() >= c.heardAllAt
 }
 
-// Records returns all that this instance knows of instances and targets. While it is about
-// to take in what its disk holds, it answers a little later rather than in part. It
-// returns a *ClosedError.
+// Records returns all that this instance knows of instances and targets. While it is
+// learning itself it answers a little later rather than in part. It returns a *ClosedError.
 func (c *Controller) Records(ctx context.Context) (*messenger.RecordsReply, error) {
-	c.awaitCache(ctx)
+	c.awaitInformed(ctx)
 	reply := &messenger.RecordsReply{}
 	var err error
 	ok := c.do(ctx, func() {
@@ -161,22 +169,36 @@
 	return data, nil
 }
 
-// awaitCache waits until the records from the disk have been taken in or given up.
-func (c *Controller) awaitCache(ctx context.Context) {
-	var settled chan struct{}
+// awaitInformed waits, for a while, until this instance knows the targets.
+func (c *Controller) awaitInformed(ctx context.Context) {
+	var learnt chan struct{}
+	hold := learnHold
 	c.do(ctx, func() {
+		c.noteInformed()
+		learnt = c.learnt
 		if c.cache.pending != nil {
-			settled = c.cache.settled
+			hold = cacheHold
 		}
 	})
-	if settled == nil {
+	if learnt == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, cacheHold)
+	ctx, cancel := context.WithTimeout(ctx, hold)
 	defer cancel()
 	select {
-	case <-settled:
+	case <-learnt:
 	case <-ctx.Done():
 	case <-c.done:
 	}
 }
+
+// noteInformed lets those go on who wait until this instance knows the targets.
+func (c *Controller) noteInformed() {
+	switch {
+	case !c.informed() && c.learnt == nil:
+		c.learnt = make(chan struct{})
+	case c.informed() && c.learnt != nil:
+		close(c.learnt)
+		c.learnt = nil
+	}
+}
--- a/controller/sync_test.go
+++ b/controller/sync_test.go
@@ -126,3 +126,33 @@
 		is.Equal(recordsTimeout(failures), want)
 	}
 }
+
+// An entry asks a store that has just come up with an empty disk. The store answers as soon
+// as it has learnt from the others, with all there is, rather than at once and in part.
+func TestAStoreThatLearnsHoldsItsAnswer(t *testing.T) {
+	is := is.New(t)
+	w := newWires(t)
+	c := w.start(t, 0, t.TempDir(), false)
+	replies := make(chan *messenger.RecordsReply, 1)
+	go func() {
+		reply, err := c.Records(context.Background())
+		if err != nil {
+			t.Error(err)
+		}
+		replies <- reply
+	}()
+	waits := func() bool {
+		waits := false
+		c.do(context.Background(), func() { waits = c.learnt != nil })
+		return waits
+	}
+	eventually(t, "the call waits", waits)
+	c.do(context.Background(), func() {
+		packed, err := messenger.PackRecords(messenger.Records{})
+		is.NoErr(err)
+		is.NoErr(c.takeRecords("another", &messenger.RecordsReply{Packed: packed}))
+	})
+	reply := <-replies
+	is.True(!reply.Learning)
+	w.stop(t, 0)
+}
