--- a/announcer/registry.go
+++ b/announcer/registry.go
@@ -63,7 +63,7 @@
 	heard     time.Duration
 	published time.Duration
 	relayed   time.Duration // when the home was last told that the target goes on
-	homeless  time.Duration // since when the home is out of reach; 0 while it is not
+	cutSince  time.Duration // since when the home is out of reach; 0 while it is not
 	refute    bool          // it was declared lost by an instance that did not hear it
 }
 
@@ -213,7 +213,7 @@
 	case lost || a.State == Gone || (old != nil && old.Incarnation != a.Incarnation):
 		delete(r.heard, a.Endpoint)
 	case ok:
-		l.homeless = 0
+		l.cutSince = 0
 		r.heard[a.Endpoint] = l
 	}
 	if home == r.self && !lost && a.State != Gone {
@@ -291,11 +291,11 @@
 	reachable := alive(t.Home)
 	switch {
 	case reachable:
-		l.homeless = 0
-	case l.homeless == 0:
-		l.homeless = max(now, 1)
+		l.cutSince = 0
+	case l.cutSince == 0:
+		l.cutSince = max(now, 1)
 	}
-	if l.refute || (!reachable && now-l.homeless >= RehomeAfter) {
+	if l.refute || (!reachable && now-l.cutSince >= RehomeAfter) {
 		r.publish(now, t.Announcement, false, p)
 		return local{heard: l.heard, published: now}
 	}
