explainer, cmd: almondpick explain puts the lines of one flow from several logs in order

On call, the lines of a flow stand in the logs of several entries, and what explains them (what was believed of its target, a restart, an isolation) in other lines of the same logs.

--- /dev/null
+++ b/cmd/almondpick/explain.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"almondpick/explainer"
+)
+
+type explainCommand struct{}
+
+// Name implements subcommands.Command.
+func (*explainCommand) Name() string { return "explain" }
+
+// Synopsis implements subcommands.Command.
+func (*explainCommand) Synopsis() string { return "show what several logs say of one caller's flow" }
+
+// Usage implements subcommands.Command.
+func (*explainCommand) Usage() string {
+	return "explain ADDRESS:PORT LOG...\n  Puts the lines of a flow in order, with what explains them.\n" +
+		"  Example: almondpick explain 100.64.0.7:40001 /var/log/almondpick/*.log\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (*explainCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (c *explainCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	const fewest = 2 // a caller and a log
+	if f.NArg() < fewest {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	lines, err := readLogs(f.Args()[1:])
+	if err == nil {
+		lines, err = explainer.Explain(lines, f.Arg(0))
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	for _, l := range lines {
+		fmt.Println(l.Source, l.Text)
+	}
+	return subcommands.ExitSuccess
+}
+
+func readLogs(paths []string) ([]explainer.Line, error) {
+	var lines []explainer.Line
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		more, err := explainer.Read(path, file)
+		if err = errors.Join(err, file.Close()); err != nil {
+			return nil, err
+		}
+		lines = append(lines, more...)
+	}
+	return lines, nil
+}
--- a/cmd/almondpick/main.go
+++ b/cmd/almondpick/main.go
@@ -19,6 +19,7 @@
 	for _, c := range operatorCommands() {
 		subcommands.Register(c, "operating")
 	}
+	subcommands.Register(&explainCommand{}, "operating")
 	subcommands.Register(&demoCommand{}, "trying it")
 	subcommands.Register(&loadCommand{}, "trying it")
 	subcommands.Register(&measureCommand{}, "trying it")
