controller: a call that is given up reads nothing that may still be written

When a call to the control goroutine is given up, the goroutine may carry it out later; awaitInformed (since's parent) and Resign read what it writes all the same.

Change: both return at once then, as the other calls do. No decision changes.

--- a/controller/resign.go
+++ b/controller/resign.go
@@ -23,9 +23,8 @@
 	defer stop()
 	resigned := false
 	for {
-		done := true
-		c.do(ctx, func() { done = c.resign(&resigned) })
-		if done {
+		done := false
+		if !c.do(ctx, func() { done = c.resign(&resigned) }) || done {
 			return
 		}
 		select {
--- a/controller/sync.go
+++ b/controller/sync.go
@@ -173,14 +173,14 @@
 func (c *Controller) awaitInformed(ctx context.Context) {
 	var learnt chan struct{}
 	hold := learnHold
-	c.do(ctx, func() {
+	ok := c.do(ctx, func() {
 		c.noteInformed()
 		learnt = c.learnt
 		if c.cache.pending != nil {
 			hold = cacheHold
 		}
 	})
-	if learnt == nil {
+	if !ok || learnt == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, hold)
--- a/controller/sync_test.go
+++ b/controller/sync_test.go
@@ -156,3 +156,31 @@
 	is.True(!reply.Learning)
 	w.stop(t, 0)
 }
+
+// A caller gives up while the control goroutine is busy, which carries the call out later:
+// the two do not touch the same memory then.
+func TestCallsThatAreGivenUpShareNothing(t *testing.T) {
+	w := newWires(t)
+	c := w.start(t, 0, t.TempDir(), false)
+	for _, call := range []func(ctx context.Context){
+		func(ctx context.Context) { _, _ = c.Records(ctx) },
+		func(ctx context.Context) { _, _ = c.Departures(ctx) },
+		func(ctx context.Context) { _ = c.Withdraw(ctx, 1) },
+		func(ctx context.Context) { _ = c.Announce(ctx, servingTarget(1)) },
+		c.Resign,
+	} {
+		busy, release := make(chan struct{}), make(chan struct{})
+		go c.do(context.Background(), func() {
+			close(busy)
+			<-release
+		})
+		<-busy
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		// Not after the call returns: that would order the two.
+		time.AfterFunc(20*time.Millisecond, func() { close(release) })
+		call(ctx)
+		cancel()
+		c.do(context.Background(), func() {})
+	}
+	w.stop(t, 0)
+}
