announcer, controller: one function for the key of a target's record

KeyOf is its twin now; EndpointOf cuts the prefix with strings.CutPrefix. A comment in measurer no longer says where its numbers came from. No behaviour changes; the tests of announcer and controller and the linter are green.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -160,7 +160,7 @@
 		panic(err) // a struct of plain fields always encodes
 	}
 	return gossiper.Record{
-		Key:         gossiper.TargetPrefix + a.Endpoint.String(),
+		Key:         KeyOf(a.Endpoint),
 		Incarnation: a.Incarnation,
 		Sequence:    a.Sequence,
 		Rank:        rank,
--- a/announcer/departure.go
+++ b/announcer/departure.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 
 	"almondpick/gossiper"
 )
@@ -76,12 +77,18 @@
 	return record(a, d.Home, gossiper.RankOwn), true
 }
 
+// KeyOf returns the key of the record of the target at an endpoint.
+func KeyOf(at netip.AddrPort) string {
+	return gossiper.TargetPrefix + at.String()
+}
+
 // EndpointOf returns the endpoint whose record has that key. ok is false for a key that
 // is not a target's.
 func EndpointOf(key string) (at netip.AddrPort, ok bool) {
-	if len(key) < len(gossiper.TargetPrefix) || key[:len(gossiper.TargetPrefix)] != gossiper.TargetPrefix {
+	text, ok := strings.CutPrefix(key, gossiper.TargetPrefix)
+	if !ok {
 		return at, false
 	}
-	at, err := netip.ParseAddrPort(key[len(gossiper.TargetPrefix):])
+	at, err := netip.ParseAddrPort(text)
 	return at, err == nil
 }
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -178,7 +178,7 @@
 	return out
 }
 
-// Times in which news spreads in the simulation, as measured of the gossip.
+// Times in which news and deaths become known in the simulation.
 const (
 	newsLeast    = 50 * time.Millisecond
 	newsMost     = 800 * time.Millisecond
