controller: voters that start at the same moment draw different election timeouts

Cause: the random source of the election timeouts was seeded with the start time alone. Storage instances whose machines come back together may start in the same nanosecond; all then draw the same timeouts, become candidates at the same moment in every term and vote for themselves.

Change: the source is seeded with the instance's name too. The probe order of gossip had the same fault and takes the same source.

Ruled out: the log (all three read 31 entries, commit 32) and the network (members alive in 250 ms).

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -224,7 +223,7 @@
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	incarnation := uint64(c.startTime.UnixMilli())
 	c.gossip = gossiper.New(settings.Self, incarnation, gossiper.WithSeeds(settings.Seeds...),
-		gossiper.WithRandom(rand.New(rand.NewPCG(incarnation, 7))))
+		gossiper.WithRandom(newRandom(settings.Self.Name, c.startTime, gossipStream)))
 	c.dataFolderEmpty = settings.DataFolder != "" && journaler.IsEmptyFolder(settings.DataFolder)
 	if settings.DataFolder != "" && !c.dataFolderEmpty {
 		if err := c.openJournal(""); err != nil {
--- a/controller/replicated_log.go
+++ b/controller/replicated_log.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -36,7 +35,7 @@
 	}
 	c.voter = voter.New(id, c.now(), state.HardState, state.Snapshot, state.Entries,
 		voter.WithTiming(c.settings.HeartbeatInterval, c.settings.ElectionTimeout),
-		voter.WithRandom(rand.New(rand.NewPCG(uint64(c.startTime.UnixNano()), 3))))
+		voter.WithRandom(newRandom(c.settings.Self.Name, c.startTime, electionStream)))
 	c.gossip.UpdateSelf(func(i gossiper.Instance) gossiper.Instance {
 		i.VoterID = string(id)
 		return i
