limiter: an in-flight limit for each pool and instance; what exceeds it waits, the newest first

Hypothesis: in a burst and after a restart of everything all callers are late alike, because every instance places at once and targets queue first come, first served. If each instance has only its share of what the targets can answer in time in progress, the excess waits where it can be put in order, and the newest callers are served in time.

Change: package limiter. The limit is the pool's slots, divided by the instances that forward, times a depth: 0.6 of the route's objective over the latency of an idle pool (2.5 until that is known), adjusted by the latency of many responses while the limit binds. Requests on open flows count and wait like new flows. A flow counts as load while its response is pending, no longer for 200 ms after its last packet, and for its objective at most; flows that another instance placed are counted too. The hold queue serves callers that can still be in time first, the newest first, by priority among those of about the same age; the number of a SYN tells its age. A SYN is held for 1.3 s at most (1.0), then refused. The limit of two flows a slot until the view is synced is gone: this one replaces it.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -84,10 +84,12 @@
 	Members         []gossiper.Member // all known instances except Self
 	Targets         []announcer.Target
 	KeyTableHolders map[string]string // instance that holds the idempotency-key table of each issuer, by issuer ID
-	Ready           bool              // the control state is recent enough to serve with
-	ConfigConfirmed bool              // Config was confirmed by a majority of the voters since the start
-	Leaving         bool              // Leave was called
-	TakenAt         time.Duration     // since the start of the controller
+	// ForwardingInstances is the number of instances that forward flows, this one included.
+	ForwardingInstances int
+	Ready               bool          // the control state is recent enough to serve with
+	ConfigConfirmed     bool          // Config was confirmed by a majority of the voters since the start
+	Leaving             bool          // Leave was called
+	TakenAt             time.Duration // since the start of the controller
 }
 
 // Controller runs the control loop of an instance.
@@ -141,6 +143,8 @@
 	// otherwise that no majority of the voters is reachable.
 	cutOffSince        time.Time
 	stableTargets      map[string]stableTargets
+	countedInstances   int                     // result of forwardingInstances at countedRevision
+	countedRevision    uint64                  // revision of gossip
 	loggedMembers      map[string]loggedMember // by instance name
 	nextPeriodicRun    time.Duration
 	publishedRevisions stateRevisions
@@ -174,6 +178,7 @@
 // stateRevisions are the revisions that the last published ClusterState was made from.
 type stateRevisions struct {
 	gossip, registry, version       uint64
+	forwardingInstances             int
 	ready, configConfirmed, leaving bool
 }
 
@@ -398,7 +403,8 @@
 		ready: c.ready, configConfirmed: c.configConfirmed, leaving: c.leaving,
 	}
 	if c.settings.LabelSteering {
-		r.gossip = 0 // steering by label does not depend on the members
+		r.gossip = 0 // steering by label depends only on the number of members
+		r.forwardingInstances = c.forwardingInstances()
 	}
 	if c.settings.LabelSteering && !c.settings.HandlesFlows {
 		r.registry = 0
@@ -454,6 +460,7 @@
 	}
 	s.Targets = make([]announcer.Target, 0, c.registry.Len())
 	c.registry.EachTarget(func(t announcer.Target) { s.Targets = append(s.Targets, t) })
+	s.ForwardingInstances = c.forwardingInstances()
 	if c.settings.LabelSteering {
 		return s
 	}
@@ -463,6 +470,28 @@
 	return s
 }
 
+// forwardingInstances returns the number of live instances that forward flows, this one
+// included, or 0 if this one does not. Those are the instances that, like this one, have an
+// operator address or have none.
+func (c *Controller) forwardingInstances() int {
+	if !c.settings.HandlesFlows {
+		return 0
+	}
+	revision := c.gossip.Revision()
+	if c.countedInstances > 0 && c.countedRevision == revision {
+		return c.countedInstances
+	}
+	operates := c.settings.Self.OperatorAddress != ""
+	n := 1
+	for _, m := range c.gossip.Members() {
+		if m.Alive() && (m.OperatorAddress != "") == operates {
+			n++
+		}
+	}
+	c.countedInstances, c.countedRevision = n, revision
+	return n
+}
+
 func encodeCommand(cmd planner.Command) []byte {
 	b, err := messenger.EncodeCommand(cmd)
 	if err != nil {
--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -239,42 +239,18 @@
 	return len(l.queue.packets) > 0
 }
 
-// retryHeldPackets decides again about the held packets that are due, and gives up those
-// that have been held for longer than maxHoldTime.
+// retryHeldPackets decides again about the held packets that are due.
 func (l *Listener) retryHeldPackets(now time.Duration) {
 	l.mu.Lock()
-	due, expired := l.queue.takeDue(now)
+	due := l.queue.takeDue(now)
 	l.mu.Unlock()
 	for _, held := range due {
-		if l.handlePacket(now, held.packet, max(now-held.firstReceivedAt, 1)) == steerer.Hold {
+		if l.handlePacket(now, held.packet, max(now-held.sentAt, 1)) == steerer.Hold {
 			l.mu.Lock()
 			l.queue.requeue(held)
 			l.mu.Unlock()
 		}
 	}
-	for _, held := range expired {
-		l.expirePacket(now, held)
-	}
-}
-
-// expirePacket gives up a packet that was held for too long. The caller of a SYN gets a
-// reset at once; no target has received the SYN. Any other packet is dropped.
-func (l *Listener) expirePacket(now time.Duration, held heldPacket) {
-	l.counters.Expired.Add(1)
-	p, err := l.codec.Decode(held.packet[l.codec.Headroom():])
-	if err != nil || !held.isSYN {
-		return
-	}
-	decision := steerer.Decision{Action: steerer.Reset, Reason: steerer.HeldTooLong}
-	l.observer.Decided(decision)
-	l.apply(held.packet, p, decision)
-	l.logDecision(now, p, decision, l.currentConfigVersion())
-}
-
-func (l *Listener) currentConfigVersion() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.configVersion
 }
 
 // handlePacket decides about the packet that begins after the headroom of b and applies the
@@ -294,7 +270,7 @@
 	l.mu.Lock()
 	decision := l.steerer.Decide(now, p)
 	configVersion := l.configVersion
-	queueFull := decision.Action == steerer.Hold && firstAttempt && !l.queue.enqueue(now, p, b)
+	queueFull := decision.Action == steerer.Hold && firstAttempt && !l.queue.enqueue(now, p, decision.Route, b)
 	l.mu.Unlock()
 	if queueFull {
 		decision.Action = steerer.Drop
@@ -325,6 +301,9 @@
 		l.send(b, decision.Target.Endpoint)
 		l.counters.Forwarded.Add(1)
 	case steerer.Reset:
+		if decision.Reason == steerer.HeldTooLong {
+			l.counters.Expired.Add(1)
+		}
 		l.send(l.codec.AppendReset(nil, p), l.codec.CallerAddress(p))
 		l.counters.Refused.Add(1)
 	case steerer.Hold:
--- a/diverter/hold_queue_test.go
+++ b/diverter/hold_queue_test.go
@@ -17,39 +17,74 @@
 	}
 }
 
+// order returns the first bytes of the packets.
+func order(packets []heldPacket) []byte {
+	var out []byte
+	for _, held := range packets {
+		out = append(out, held.packet[0])
+	}
+	return out
+}
+
 func TestHeldPacketsAreRetriedNewestFirst(t *testing.T) {
 	is := is.New(t)
 	q := &holdQueue{}
 	for n := range 3 {
-		is.True(q.enqueue(time.Duration(n)*time.Millisecond, synPacket(n), []byte{byte(n)}))
+		is.True(q.enqueue(time.Duration(n)*time.Millisecond, synPacket(n), nil, []byte{byte(n)}))
+	}
+	is.Equal(order(q.takeDue(5*time.Millisecond)), []byte{2, 1, 0})
+	is.Equal(len(q.takeDue(6*time.Millisecond)), 0) // the queue is empty
+}
+
+// Callers that can still be answered within their objective go before those that cannot, and
+// among those of about the same age the one of the more urgent route.
+func TestHeldPacketsThatCanBeInTimeComeFirst(t *testing.T) {
+	is := is.New(t)
+	urgent := &steerer.Route{Objective: 300 * time.Millisecond, Priority: 1}
+	other := &steerer.Route{Objective: 300 * time.Millisecond, Priority: 2}
+	q := &holdQueue{}
+	retransmitted := synPacket(9)
+	retransmitted.SentBefore = 200 * time.Millisecond
+	for n, held := range []struct {
+		at     time.Duration
+		packet steerer.Packet
+		route  *steerer.Route
+	}{
+		{0, synPacket(0), urgent}, // late by the time of the retry
+		{100 * time.Millisecond, synPacket(1), urgent},
+		{110 * time.Millisecond, synPacket(2), other},
+		{120 * time.Millisecond, synPacket(3), urgent},
+		{125 * time.Millisecond, synPacket(4), other},
+		{140 * time.Millisecond, retransmitted, other}, // late, as its first transmission shows
+	} {
+		is.True(q.enqueue(held.at, held.packet, held.route, []byte{byte(n)}))
 	}
-	due, expired := q.takeDue(5 * time.Millisecond)
-	is.Equal(len(expired), 0)
-	is.Equal([]byte{due[0].packet[0], due[1].packet[0], due[2].packet[0]}, []byte{2, 1, 0})
-	due, _ = q.takeDue(6 * time.Millisecond)
-	is.Equal(len(due), 0) // the queue is empty
+	is.Equal(order(q.takeDue(160*time.Millisecond)), []byte{3, 4, 2, 1, 0, 5})
 }
 
-func TestRetransmittedSYNReplacesPacketAndKeepsFirstReceiptTime(t *testing.T) {
+func TestRetransmittedPacketReplacesTheFirstAndKeepsItsTime(t *testing.T) {
 	is := is.New(t)
+	request := synPacket(2)
+	request.Flags, request.Sequence = 0, 1000
+	next := request
+	next.Sequence = 2200
 	q := &holdQueue{}
-	is.True(q.enqueue(0, synPacket(1), []byte{0}))
-	is.True(q.enqueue(200*time.Millisecond, synPacket(1), []byte{1}))
-	due, _ := q.takeDue(time.Second)
-	is.Equal(len(due), 1)
-	is.Equal(due[0].packet, []byte{1})
-	q.requeue(due[0])
-	due, expired := q.takeDue(time.Second + 2*retryInterval)
-	is.Equal(len(due), 0)
-	is.Equal(len(expired), 1) // held for over a second since the first transmission
+	is.True(q.enqueue(0, synPacket(1), nil, []byte{0}))
+	is.True(q.enqueue(100*time.Millisecond, request, nil, []byte{1}))
+	is.True(q.enqueue(200*time.Millisecond, synPacket(1), nil, []byte{2}))
+	is.True(q.enqueue(300*time.Millisecond, request, nil, []byte{3}))
+	is.True(q.enqueue(300*time.Millisecond, next, nil, []byte{4}))
+	due := q.takeDue(time.Second)
+	is.Equal(order(due), []byte{4, 3, 2})
+	is.Equal([]time.Duration{due[1].sentAt, due[2].sentAt}, []time.Duration{100 * time.Millisecond, 0})
 }
 
 func TestHoldQueueIsBounded(t *testing.T) {
 	is := is.New(t)
 	q := &holdQueue{}
 	for n := range maxHeldPackets {
-		is.True(q.enqueue(0, synPacket(n), []byte{0}))
+		is.True(q.enqueue(0, synPacket(n), nil, []byte{0}))
 	}
-	is.True(!q.enqueue(0, synPacket(maxHeldPackets), []byte{0}))
-	is.True(q.enqueue(0, synPacket(1), []byte{0})) // a retransmission replaces its packet
+	is.True(!q.enqueue(0, synPacket(maxHeldPackets), nil, []byte{0}))
+	is.True(q.enqueue(0, synPacket(1), nil, []byte{0})) // a retransmission replaces its packet
 }
--- /dev/null
+++ b/limiter/limiter.go
@@ -0,0 +1,132 @@
+// Package limiter limits how many requests one instance has in progress at the targets of a
+// pool. Several instances send to the same targets without knowing of each other's requests.
+// If each sent all that it receives, a burst or the callers that return after an outage would
+// fill the queues of the targets, and then every request would be late. With a limit the
+// excess waits at the instances, where it can be put in order.
+//
+// The limit answers three loads. Steady load below the capacity never reaches it. In a burst it
+// keeps the queues of targets as short as the latency objective needs. Right after a start, when
+// nothing has been measured, it begins at the instance's share of the capacity.
+//
+// A Limiter has no clock and no goroutine, and is not safe for concurrent use. Parameters named
+// now are times since any fixed moment.
+package limiter
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// latencyGoal is the latency, as a fraction of the objective, that the limit aims at. The
+	// rest is left for the time that a request waits here and for targets with longer queues
+	// than the others.
+	latencyGoal = 0.6
+	// initialDepth is the number of requests in progress for each slot until the latency of an
+	// idle pool is known. Instances select targets independently, so fewer would leave some
+	// slots idle while others have a queue.
+	initialDepth = 2.5
+	// minDepth is the lowest number of requests in progress for each slot. With fewer, slots
+	// would be idle while requests wait.
+	minDepth = 1.0
+	// minLimit lets an instance with a small share of a small pool send one request at a time.
+	minLimit = 1.0
+	// idleLatencyWeight is the weight of a new response in the average latency of an idle pool.
+	idleLatencyWeight = 0.02
+	// adjustmentGain is by how much one response changes the adjustment at most, relatively.
+	// A single slow response says little, because the work of requests varies.
+	adjustmentGain = 0.03
+	// relaxation is the factor by which one response reduces an adjustment that is not needed.
+	relaxation = 0.98
+	// Limits of the adjustment.
+	minAdjustment = 0.5
+	maxAdjustment = 4.0
+	// bindingTime is how long the limit counts as binding after it was last reached.
+	bindingTime = 100 * time.Millisecond
+)
+
+// Limiter limits the requests of one instance in progress at one pool.
+type Limiter struct {
+	capacity    float64 // slots of the pool that are this instance's share
+	inProgress  int
+	idleLatency float64 // average latency as a fraction of the objective while slots are free; 0 if unknown
+	// adjustment is a factor on the limit. The share is an estimate: the callers of this
+	// instance may be more, or fewer, than those of other instances.
+	adjustment float64
+	reached    bool          // the limit has been reached at least once
+	reachedAt  time.Duration // when the limit was last reached
+}
+
+// New returns a Limiter for a pool without slots.
+func New() *Limiter {
+	return &Limiter{adjustment: 1}
+}
+
+// SetCapacity sets the number of slots of the pool and the number of instances that share
+// them, this one included.
+func (l *Limiter) SetCapacity(slots, instances int) {
+	l.capacity = float64(slots) / float64(max(instances, 1))
+}
+
+// Begin counts a request that is sent to a target.
+func (l *Limiter) Begin() { l.inProgress++ }
+
+// End removes a request that Begin counted: its response has begun, or it has been given up.
+func (l *Limiter) End() { l.inProgress-- }
+
+// InProgress returns the number of requests in progress.
+func (l *Limiter) InProgress() int { return l.inProgress }
+
+// Limit returns how many requests may be in progress.
+func (l *Limiter) Limit() float64 {
+	depth := initialDepth
+	if l.idleLatency > 0 {
+		depth = latencyGoal / l.idleLatency
+	}
+	return max(minLimit, l.capacity*max(minDepth, depth*l.adjustment))
+}
+
+// Admit reports whether another request may be sent now.
+func (l *Limiter) Admit(now time.Duration) bool {
+	if float64(l.inProgress) < l.Limit() {
+		return true
+	}
+	l.reached, l.reachedAt = true, now
+	return false
+}
+
+// Observe records the latency of a request to the pool whose response has just begun, and the
+// latency objective of its route; 0 means that the route has none. Latencies above the goal
+// lower the limit. Those below it raise the limit only while it is reached, because the
+// latency of a pool with free slots says nothing about how many more requests it can take.
+func (l *Limiter) Observe(now, latency, objective time.Duration) {
+	if objective <= 0 {
+		return
+	}
+	ratio := float64(latency) / float64(objective)
+	l.observeIdle(ratio)
+	deviation := max(-1, min(1, (latencyGoal-ratio)/latencyGoal))
+	if deviation > 0 && l.adjustment >= 1 && !l.binding(now) {
+		l.adjustment = max(1, l.adjustment*relaxation)
+		return
+	}
+	l.adjustment *= math.Exp(adjustmentGain * deviation)
+	l.adjustment = max(minAdjustment, min(maxAdjustment, l.adjustment))
+}
+
+// observeIdle updates the average latency of an idle pool, if this instance uses less than its
+// share of the slots.
+func (l *Limiter) observeIdle(ratio float64) {
+	if float64(l.inProgress) > l.capacity {
+		return
+	}
+	if l.idleLatency == 0 {
+		l.idleLatency = latencyGoal / initialDepth
+	}
+	l.idleLatency += idleLatencyWeight * (min(ratio, 1) - l.idleLatency)
+}
+
+// binding reports whether the limit has been reached lately.
+func (l *Limiter) binding(now time.Duration) bool {
+	return l.reached && now-l.reachedAt <= bindingTime
+}
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,105 @@
+package limiter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const objective = 300 * time.Millisecond
+
+// admitted returns how many requests of n l admits at now, and begins them.
+func admitted(l *Limiter, now time.Duration, n int) int {
+	count := 0
+	for range n {
+		if l.Admit(now) {
+			l.Begin()
+			count++
+		}
+	}
+	return count
+}
+
+// Instances that share the slots of a pool admit together what its targets can answer in time,
+// for pools with one slot a target and with many.
+func TestInstancesShareAPool(t *testing.T) {
+	for _, test := range []struct{ slots, instances int }{{14, 3}, {42, 6}, {240, 67}, {879, 194}, {100, 1}} {
+		is := is.New(t)
+		total := 0
+		for range test.instances {
+			l := New()
+			l.SetCapacity(test.slots, test.instances)
+			total += admitted(l, 0, 10000)
+		}
+		is.True(total >= test.slots)
+		is.True(total <= int(initialDepth*float64(test.slots))+test.instances) // rounded up at each instance
+	}
+}
+
+func TestSmallShareOfASmallPool(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.SetCapacity(4, 100)
+	is.Equal(admitted(l, 0, 10), 1)
+	l.End()
+	is.Equal(admitted(l, 0, 10), 1)
+}
+
+// The limit falls while responses take longer than the goal, but never below one request for
+// each slot, and returns within seconds.
+func TestLimitFollowsTheLatency(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.SetCapacity(10, 1)
+	now := time.Duration(0)
+	respond := func(n int, latency time.Duration) {
+		for range n {
+			now += 10 * time.Millisecond
+			admitted(l, now, 100)
+			l.Observe(now, latency, objective)
+		}
+	}
+	admitted(l, 0, 100)
+	atFirst := l.Limit()
+	respond(100, objective)
+	low := l.Limit()
+	is.True(low < atFirst)
+	is.True(low >= 10)
+	respond(100, objective/5)
+	is.True(l.Limit() > atFirst)
+}
+
+// Fast responses of a pool that is far from its limit must not raise the limit: it would be
+// too high when a burst begins.
+func TestIdlePoolDoesNotRaiseTheLimit(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.SetCapacity(10, 1)
+	for i := range 1000 {
+		l.Observe(time.Duration(i)*10*time.Millisecond, objective/5, objective)
+	}
+	is.Equal(l.adjustment, 1.0)
+	is.True(l.Limit() >= 10*latencyGoal*4.5)
+	is.True(l.Limit() <= 10*latencyGoal*5.5)
+}
+
+// Single slow responses are no sign of congestion.
+func TestOneSlowResponseChangesTheLimitLittle(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.SetCapacity(10, 1)
+	admitted(l, 0, 100)
+	before := l.Limit()
+	l.Observe(time.Second, 20*objective, objective)
+	is.True(l.Limit() >= 0.95*before)
+}
+
+func TestRouteWithoutAnObjective(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.SetCapacity(10, 1)
+	before := l.Limit()
+	l.Observe(time.Second, time.Minute, 0)
+	is.Equal(l.Limit(), before)
+}
--- a/server/steerer_view.go
+++ b/server/steerer_view.go
@@ -14,7 +14,7 @@
 	}
 	routes := make([]steerer.Route, 0, len(ruleset.Routes))
 	for _, r := range ruleset.Routes {
-		route := steerer.Route{Name: r.Name, Class: r.RetryPolicy.String(), Address: r.Address, Timeout: r.CallerTimeout}
+		route := steerer.Route{Name: r.Name, Class: r.RetryPolicy.String(), Address: r.Address, Timeout: r.CallerTimeout, Objective: r.LatencyObjective, Priority: r.Priority}
 		for _, s := range r.WeightedPools {
 			route.Shares = append(route.Shares, steerer.Share{Pool: s.Pool, Weight: s.Weight})
 		}
@@ -31,5 +31,5 @@
 		}
 		targets = append(targets, target)
 	}
-	return steerer.NewView(ruleset.Version, cluster.Self.DataCentre, routes, targets).WithSynced(cluster.Ready)
+	return steerer.NewView(ruleset.Version, cluster.Self.DataCentre, routes, targets).WithSynced(cluster.Ready).WithForwardingInstances(cluster.ForwardingInstances)
 }
--- /dev/null
+++ b/steerer/holding.go
@@ -0,0 +1,49 @@
+package steerer
+
+import (
+	"time"
+
+	"almondpick/limiter"
+)
+
+// MaxHoldTime is how long a packet is held while the view is incomplete, and how long a SYN is
+// held at most. It is shorter than the time for which callers wait for a flow to be
+// established, so that a refusal reaches them before they give up.
+const MaxHoldTime = 1300 * time.Millisecond
+
+// holdTimeoutDivisor divides a route's timeout into the time for which a SYN is held at
+// most. After that the remaining time would hardly suffice for the request, and the
+// caller may have given up: forwarding its flow would take capacity from other callers.
+const holdTimeoutDivisor = 2
+
+// maxSYNHoldTime returns how long a SYN of the route is held at most.
+func (r *Route) maxSYNHoldTime() time.Duration {
+	return min(r.Timeout/holdTimeoutDivisor, MaxHoldTime)
+}
+
+// loadTimeout returns how long a request without a response counts as load. A response that
+// has not begun within the objective is late already, or came through another instance.
+func (r *Route) loadTimeout() time.Duration {
+	if r.Objective <= 0 {
+		return r.Timeout
+	}
+	return min(r.Objective, r.Timeout)
+}
+
+// limiterOf returns the limiter of a pool and creates it if there is none.
+func (s *Steerer) limiterOf(pool string) *limiter.Limiter {
+	l := s.limiters[pool]
+	if l == nil {
+		l = limiter.New()
+		l.SetCapacity(s.view.acceptingSlots[pool], s.view.ForwardingInstances)
+		s.limiters[pool] = l
+	}
+	return l
+}
+
+// updateLimiters sets the capacity of each pool as the view has it.
+func (s *Steerer) updateLimiters() {
+	for pool, l := range s.limiters {
+		l.SetCapacity(s.view.acceptingSlots[pool], s.view.ForwardingInstances)
+	}
+}
--- a/steerer/simulation_test.go
+++ b/steerer/simulation_test.go
@@ -1,6 +1,8 @@
 package steerer
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -59,6 +61,7 @@
 // simulation simulates callers, instances and targets in virtual time.
 type simulation struct {
 	now             time.Duration
+	rate            float64 // requests per second
 	random          *rand.Rand
 	instances       []*Steerer
 	targets         []*simulatedTarget
@@ -76,7 +79,7 @@
 // newSimulation returns a simulation in which all instances know all targets.
 func newSimulation(randomPlacement bool) *simulation {
 	sim := &simulation{
-		random: rand.New(rand.NewPCG(7, 7)), heldSince: make(map[*request]time.Duration), randomPlacement: randomPlacement,
+		rate: loadRate, random: rand.New(rand.NewPCG(7, 7)), heldSince: make(map[*request]time.Duration), randomPlacement: randomPlacement,
 		withinObjective: make(map[int]int), answeredInTime: make(map[int]int), servedByTarget: make(map[int]int), sent: make(map[int]int),
 	}
 	for range loadTargets {
@@ -102,8 +105,8 @@
 		for i := range n {
 			targets = append(targets, target(uint64(i+1), "menus", func(t *Target) { t.Slots = loadSlots }))
 		}
-		routes := []Route{{Address: menu, Timeout: loadTimeout, Shares: []Share{{Pool: "menus", Weight: 1}}}}
-		s.SetView(NewView(1, "dc1", routes, targets).WithSynced(synced))
+		routes := []Route{{Address: menu, Timeout: loadTimeout, Objective: loadObjective, Shares: []Share{{Pool: "menus", Weight: 1}}}}
+		s.SetView(NewView(1, "dc1", routes, targets).WithSynced(synced).WithForwardingInstances(loadInstances))
 	}
 }
 
@@ -111,7 +114,7 @@
 func (sim *simulation) runUntil(until time.Duration) {
 	for sim.now < until {
 		sim.now += loadStep
-		if sim.random.Float64() < loadRate*loadStep.Seconds() {
+		if sim.random.Float64() < sim.rate*loadStep.Seconds() {
 			sim.requestCount++
 			r := &request{instance: sim.random.IntN(loadInstances), sentAt: sim.now, flow: Flow{
 				Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(sim.requestCount >> 16), 1}), uint16(sim.requestCount)), Service: menu,
@@ -141,12 +144,21 @@
 		}
 	}
 	sim.requests = slices.DeleteFunc(sim.requests, func(r *request) bool { return r.finished && !r.accepted })
-	for r, since := range sim.heldSince {
-		p := Packet{Flow: r.flow, Flags: SYN, Retransmissions: r.retransmissions, HeldFor: sim.now - since}
+	for _, r := range sim.heldRequests() {
+		p := Packet{Flow: r.flow, Flags: SYN, Retransmissions: r.retransmissions, HeldFor: sim.now - sim.heldSince[r]}
 		sim.apply(r, sim.instances[r.instance].Decide(sim.now, p))
 	}
 }
 
+// heldRequests returns the requests whose SYNs are held, the newest first.
+func (sim *simulation) heldRequests() []*request {
+	held := slices.Collect(maps.Keys(sim.heldSince))
+	slices.SortFunc(held, func(a, b *request) int {
+		return cmp.Or(cmp.Compare(b.sentAt, a.sentAt), cmp.Compare(b.flow.Caller.Port(), a.flow.Caller.Port()))
+	})
+	return held
+}
+
 func (sim *simulation) sendSYN(r *request) {
 	if sim.instancesDown {
 		return
@@ -364,3 +376,63 @@
 		sim.objectiveShare(restartedAt, restartedAt+500*time.Millisecond), sim.objectiveShare(restartedAt, restartedAt+time.Second), sim.countedShare(sim.answeredInTime, restartedAt-500*time.Millisecond, restartedAt))
 	is.True(sim.objectiveShare(restartedAt, restartedAt+time.Second) >= 0.95)
 }
+
+// For three seconds there are 1.7 times as many requests as before, more than the targets can
+// serve. Those that can be served must be in time, rather than all of them late, and the load
+// after the burst must be served as before.
+func TestBurstBeyondCapacity(t *testing.T) {
+	is := is.New(t)
+	const (
+		rate       = 500.0 // requests per second
+		from       = 2 * time.Second
+		to         = 5 * time.Second
+		capacity   = loadTargets * loadSlots / 0.058 // requests per second
+		achievable = capacity / (1.7 * rate)
+	)
+	sim := newSimulation(false)
+	sim.rate = rate
+	sim.runUntil(from)
+	sim.rate = 1.7 * rate
+	sim.runUntil(to)
+	sim.rate = rate
+	sim.runUntil(10 * time.Second)
+	t.Logf("within the objective in the burst: %.3f of %.3f achievable, second after it %.3f, later %.3f",
+		sim.objectiveShare(from, to), achievable, sim.objectiveShare(to, to+time.Second), sim.objectiveShare(to+time.Second, 9*time.Second))
+	is.True(sim.objectiveShare(from, to) >= achievedShare*achievable)
+	is.True(sim.objectiveShare(to, to+time.Second) >= 0.9)
+	is.True(sim.objectiveShare(to+time.Second, 9*time.Second) >= 0.99)
+}
+
+// achievedShare is the share of the callers that a perfect order would serve in time whom the
+// instances, each of which sees only its own callers, must serve in time.
+const achievedShare = 0.85
+
+// No instance runs for two seconds under a load of over 0.8 of the capacity. A perfect order would
+// serve all in time that call after the restart, although many wait that called before it.
+func TestCallersAfterALongOutageUnderLoad(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(false)
+	sim.rate = 600
+	sim.runUntil(2 * time.Second)
+	sim.instancesDown = true
+	sim.runUntil(4 * time.Second)
+	sim.instancesDown = false
+	sim.restartInstances()
+	sim.setViews(loadTargets, true)
+	restartedAt := sim.now
+	sim.runUntil(9 * time.Second)
+	t.Logf("within the objective, sent within 1 s after the restart: %.3f, in the second after that: %.3f",
+		sim.objectiveShare(restartedAt, restartedAt+time.Second), sim.objectiveShare(restartedAt+time.Second, restartedAt+2*time.Second))
+	is.True(sim.objectiveShare(restartedAt, restartedAt+time.Second) >= achievedShare)
+	is.True(sim.objectiveShare(restartedAt+time.Second, restartedAt+2*time.Second) >= 0.95)
+}
+
+// Nothing is held under steady load: the limit must not bind on a quiet day.
+func TestSteadyLoadIsNeverHeld(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(false)
+	for sim.now < 10*time.Second {
+		sim.runUntil(sim.now + loadStep)
+		is.Equal(len(sim.heldSince), 0)
+	}
+}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"time"
+
+	"almondpick/limiter"
 )
 
 // Flow identifies a flow by the addresses of its two ends.
@@ -48,6 +50,9 @@
 	// HeldFor is how long the packet has been held, counted from the first
 	// transmission of a SYN that has been retransmitted.
 	HeldFor time.Duration
+	// SentBefore is, for a retransmitted SYN, how long before it the first one was sent.
+	SentBefore time.Duration
+	Sequence   uint32 // sequence number of the first byte
 }
 
 // Action says what to do with a packet.
@@ -81,11 +86,12 @@
 	UnknownLabel        Reason = "unknown-label"   // no known target has the label
 	LabelOfOtherPool    Reason = "foreign-label"   // the label's target is in a pool that the route never used
 	NotInitialized      Reason = "not-initialized" // no configuration received yet
+	Busy                Reason = "busy"            // the pool has as many requests in progress as it can answer in time
 )
 
 // Reasons lists all values of Reason.
 var Reasons = []Reason{
-	ByLabel, Placed, RetransmissionKept, RetransmissionMoved, NoRoute, NoTarget, HeldTooLong, UnknownLabel, LabelOfOtherPool, NotInitialized,
+	ByLabel, Placed, RetransmissionKept, RetransmissionMoved, NoRoute, NoTarget, HeldTooLong, UnknownLabel, LabelOfOtherPool, NotInitialized, Busy,
 }
 
 // Decision says what to do with one packet, and why.
@@ -100,33 +106,28 @@
 const (
 	synRetransmitWindow = 5 * time.Second // SYN retransmissions arrive within it
 	expiryInterval      = 100 * time.Millisecond
-	// idleLoadTimeout is the time without a packet of the caller after which a flow whose
-	// response has begun no longer counts as load of its target.
-	idleLoadTimeout = 200 * time.Millisecond
 	// handshakeLoadTimeout is how long a flow that is not yet established counts as load
 	// of its target. After it the caller may have given up, or the target may not
 	// accept the flow.
 	handshakeLoadTimeout = 100 * time.Millisecond
 )
 
-// holdTimeoutDivisor divides a route's timeout into the time for which a SYN is held at
-// most. After that the remaining time would hardly suffice for the request, and the
-// caller may have given up: forwarding its flow would take capacity from other callers.
-const holdTimeoutDivisor = 2
-
-// flowState tracks a flow for which this instance selected the target.
+// flowState tracks a flow for which this instance selected the target, or on which a request
+// came through this instance.
 type flowState struct {
 	targetState     *targetState
 	route           *Route
-	placedAt        time.Duration // when the target was selected
-	countsAsLoad    bool          // included in the active flows of its target
-	loadExpiresAt   time.Duration // countsAsLoad is cleared at this time
-	lastPacketAt    time.Duration // when the caller last sent a packet
-	lastAck         uint32        // last acknowledgement number of the caller
-	initialAck      uint32        // acknowledgement number before the first response
-	requestAt       time.Duration // when the caller last sent data
-	responsePending bool          // the response to the last request has not begun
-	established     bool          // the target has accepted the flow
+	limiter         *limiter.Limiter // of the target's pool
+	placedAt        time.Duration    // when the target was selected
+	countsAsLoad    bool             // included in the active flows of its target and its pool
+	loadExpiresAt   time.Duration    // countsAsLoad is cleared at this time
+	lastPacketAt    time.Duration    // when the caller last sent a packet
+	lastAck         uint32           // last acknowledgement number of the caller
+	initialAck      uint32           // acknowledgement number before the first response
+	requestAt       time.Duration    // when the caller began to send the last request
+	responsePending bool             // the response to the last request has not begun
+	established     bool             // the target has accepted the flow
+	adopted         bool             // the target was selected by another instance, or before this one started
 	closed          bool
 }
 
@@ -138,6 +139,7 @@
 	targetStates        map[uint64]*targetState   // by identity
 	dataCentreEjections map[string]*ejectionState // by name of the data centre; the local one has none
 	routePools          map[routePool]bool
+	limiters            map[string]*limiter.Limiter // by pool
 	baselines           baselines
 	nextExpiry          time.Duration
 	onFlowEnd           func(r *Route, lasted time.Duration)
@@ -174,6 +176,7 @@
 		targetStates:        make(map[uint64]*targetState),
 		dataCentreEjections: make(map[string]*ejectionState),
 		routePools:          make(map[routePool]bool),
+		limiters:            make(map[string]*limiter.Limiter),
 		baselines:           newBaselines(),
 		onFlowEnd:           func(*Route, time.Duration) {},
 	}
@@ -203,6 +206,7 @@
 		current[t.Identity] = st
 	}
 	s.targetStates = current
+	s.updateLimiters()
 	for address, r := range v.routes {
 		for _, share := range r.Shares {
 			s.routePools[routePool{address, share.Pool}] = true
@@ -220,53 +224,88 @@
 	}
 	target := s.view.targetsByLabel[p.Label]
 	if target == nil {
-		return Decision{Action: s.holdUntilSynced(Drop), Reason: UnknownLabel, Route: s.view.routes[p.Flow.Service]}
+		return Decision{Action: s.holdUntilSynced(p, Drop), Reason: UnknownLabel, Route: s.view.routes[p.Flow.Service]}
 	}
 	route := s.view.routes[p.Flow.Service]
 	if route != nil && !route.usesPool(target.Pool) && !s.routePools[routePool{p.Flow.Service, target.Pool}] {
 		return Decision{Action: Drop, Reason: LabelOfOtherPool, Route: route}
 	}
-	s.updateFlow(now, p)
+	f := s.flows[p.Flow]
+	if p.PayloadSize > 0 && route != nil {
+		if f == nil {
+			f = s.adoptFlow(now, p, route, target)
+		}
+		if !f.countsAsLoad && !f.closed && !f.limiter.Admit(now) {
+			return Decision{Action: holdFor(p, route.Timeout, Drop), Reason: Busy, Target: target, Route: route}
+		}
+	}
+	if f != nil {
+		s.updateFlow(now, f, p)
+	}
 	return Decision{Action: Forward, Reason: ByLabel, Target: target, Route: route}
 }
 
-// updateFlow updates the state of a flow for which this Steerer selected the target.
-// Responses do not pass through the instance, so the caller's acknowledgement number
-// shows that a response has begun.
-func (s *Steerer) updateFlow(now time.Duration, p Packet) {
-	f := s.flows[p.Flow]
-	if f == nil {
-		return
+// adoptFlow starts to track a flow whose target another instance selected, or this one before
+// it restarted. Its requests are load of the target like those of other flows.
+func (s *Steerer) adoptFlow(now time.Duration, p Packet, route *Route, target *Target) *flowState {
+	f := &flowState{
+		targetState: s.targetStates[target.Identity], route: route, limiter: s.limiterOf(target.Pool), placedAt: now, lastPacketAt: now,
+		established: true, lastAck: p.Ack, initialAck: p.Ack, adopted: true,
 	}
+	s.flows[p.Flow] = f
+	return f
+}
+
+// updateFlow updates the state of a flow. Responses do not pass through the instance, so the
+// caller's acknowledgement number shows that a response has begun.
+func (s *Steerer) updateFlow(now time.Duration, f *flowState, p Packet) {
 	f.lastPacketAt = now
 	if !f.established {
 		f.established = true
 		f.lastAck, f.initialAck = p.Ack, p.Ack
-		f.loadExpiresAt = now + f.route.Timeout
+		f.loadExpiresAt = now + f.route.loadTimeout()
 		f.setCountsAsLoad(true)
 		s.recordEstablished(now, f)
 	}
 	if f.responsePending && p.Ack != f.lastAck && f.requestAt > 0 {
 		s.recordLatency(now, f.targetState, now-f.requestAt)
+		f.limiter.Observe(now, now-f.requestAt, f.route.Objective)
 		f.responsePending = false
+		f.setCountsAsLoad(false)
 	}
 	switch {
 	case p.Flags&(FIN|RST) != 0 && !f.closed:
-		f.closed = true
-		f.setCountsAsLoad(false)
-		s.recordResponseSize(now, f.targetState, p.Flow.Service, p.Ack-f.initialAck)
-		s.onFlowEnd(f.route, now-f.placedAt)
+		s.closeFlow(now, f, p)
 	case p.PayloadSize > 0 && !f.closed:
-		f.responsePending, f.requestAt = true, now
-		f.lastAck = p.Ack
-		f.loadExpiresAt = now + f.route.Timeout
-		f.setCountsAsLoad(true)
+		f.beginRequest(now, p.Ack)
 	case p.Ack != f.lastAck:
 		f.responsePending = false
 		f.lastAck = p.Ack
 	}
 }
 
+// beginRequest records a packet with a part of a request. Further packets of the same request
+// do not change the time at which it began.
+func (f *flowState) beginRequest(now time.Duration, ack uint32) {
+	if !f.responsePending || f.requestAt == 0 || f.lastAck != ack {
+		f.responsePending, f.requestAt = true, now
+	}
+	f.lastAck = ack
+	f.loadExpiresAt = now + f.route.loadTimeout()
+	f.setCountsAsLoad(true)
+}
+
+// closeFlow records that the caller has closed the flow.
+func (s *Steerer) closeFlow(now time.Duration, f *flowState, p Packet) {
+	f.closed = true
+	f.setCountsAsLoad(false)
+	if f.adopted {
+		return // its beginning is not known
+	}
+	s.recordResponseSize(now, f.targetState, p.Flow.Service, p.Ack-f.initialAck)
+	s.onFlowEnd(f.route, now-f.placedAt)
+}
+
 // setCountsAsLoad adds the flow to, or removes it from, the active flows of its target.
 func (f *flowState) setCountsAsLoad(counts bool) {
 	if counts == f.countsAsLoad {
@@ -275,8 +314,10 @@
 	f.countsAsLoad = counts
 	if counts {
 		f.targetState.activeFlows++
+		f.limiter.Begin()
 	} else {
 		f.targetState.activeFlows--
+		f.limiter.End()
 	}
 }
 
@@ -286,23 +327,24 @@
 	return f.countsAsLoad && !f.established && f.lastPacketAt == f.placedAt && now >= f.loadExpiresAt
 }
 
-// expireFlows removes old flows that no longer count as load. A flow stops counting as
-// load while it is idle between requests, and once its caller must have given up.
+// expireFlows removes old flows that no longer count as load. A flow stops counting as load
+// when its response has not begun in time: the response may have reached its caller through
+// another instance, or the target is gone.
 func (s *Steerer) expireFlows(now time.Duration) {
 	s.nextExpiry = now + expiryInterval
 	for flow, f := range s.flows {
 		if s.view.Synced && f.presumedRefused(now) {
 			s.recordRefusal(now, f.targetState)
 		}
-		idle := f.established && !f.responsePending && now-f.lastPacketAt >= idleLoadTimeout
-		if f.countsAsLoad && f.established && f.responsePending && now >= f.loadExpiresAt {
-			s.recordLatency(now, f.targetState, now-f.requestAt) // no response at all
-			f.responsePending = false
-		}
-		if idle || now >= f.loadExpiresAt {
+		if now >= f.loadExpiresAt {
 			f.setCountsAsLoad(false)
 		}
-		if !f.countsAsLoad && now-f.lastPacketAt >= synRetransmitWindow {
+		awaitsResponse := f.established && f.responsePending && f.requestAt > 0
+		if awaitsResponse && now >= f.requestAt+f.route.Timeout {
+			s.recordLatency(now, f.targetState, now-f.requestAt) // no response at all
+			f.responsePending, awaitsResponse = false, false
+		}
+		if !f.countsAsLoad && !awaitsResponse && now-f.lastPacketAt >= synRetransmitWindow {
 			delete(s.flows, flow)
 		}
 	}
@@ -313,11 +355,11 @@
 // and the two ends of the flow would disagree on the label.
 func (s *Steerer) handleSYN(now time.Duration, p Packet) Decision {
 	if s.view.ConfigVersion == 0 {
-		return Decision{Action: Hold, Reason: NotInitialized}
+		return Decision{Action: holdFor(p, MaxHoldTime, Reset), Reason: NotInitialized}
 	}
 	route := s.view.routes[p.Flow.Service]
 	if route == nil {
-		return Decision{Action: s.holdUntilSynced(Reset), Reason: NoRoute}
+		return Decision{Action: s.holdUntilSynced(p, Reset), Reason: NoRoute}
 	}
 	previous := s.flows[p.Flow]
 	if previous != nil && now-previous.placedAt < synRetransmitWindow && !s.cannotAnswer(now, previous) {
@@ -332,14 +374,21 @@
 		previous.setCountsAsLoad(false)
 		delete(s.flows, p.Flow)
 	}
-	if p.HeldFor > route.Timeout/holdTimeoutDivisor {
+	if p.HeldFor > route.maxSYNHoldTime() {
 		return Decision{Action: Reset, Reason: HeldTooLong, Route: route}
 	}
 	st := s.selectTarget(now, route)
 	if st == nil {
-		return Decision{Action: s.holdUntilSynced(Reset), Reason: NoTarget, Route: route}
+		return Decision{Action: s.holdUntilSynced(p, Reset), Reason: NoTarget, Route: route}
+	}
+	l := s.limiterOf(st.target.Pool)
+	if !l.Admit(now) {
+		return Decision{Action: Hold, Reason: Busy, Route: route}
+	}
+	f := &flowState{
+		targetState: st, route: route, limiter: l, placedAt: now, lastPacketAt: now,
+		responsePending: true, loadExpiresAt: now + handshakeLoadTimeout,
 	}
-	f := &flowState{targetState: st, route: route, placedAt: now, lastPacketAt: now, responsePending: true, loadExpiresAt: now + handshakeLoadTimeout}
 	f.setCountsAsLoad(true)
 	s.flows[p.Flow] = f
 	return Decision{Action: Forward, Reason: reason, Target: st.target, Route: route}
@@ -349,10 +398,19 @@
 // not contain: syncedAction once the view is synced, Hold before. During the initial
 // sync a reset would end the caller's attempt, and a drop would cost it the time until
 // its next retransmission.
-func (s *Steerer) holdUntilSynced(syncedAction Action) Action {
+func (s *Steerer) holdUntilSynced(p Packet, syncedAction Action) Action {
 	if s.view.Synced {
 		return syncedAction
 	}
+	return holdFor(p, MaxHoldTime, syncedAction)
+}
+
+// holdFor returns Hold for a packet that has not been held for longer than limit, and
+// otherwise the other action.
+func holdFor(p Packet, limit time.Duration, otherwise Action) Action {
+	if p.HeldFor > limit {
+		return otherwise
+	}
 	return Hold
 }
 
--- a/steerer/target_selection.go
+++ b/steerer/target_selection.go
@@ -16,10 +16,6 @@
 	// targets are preferred until their load, as a share of their slots, is higher by
 	// more than this.
 	remotePenalty = 0.34
-	// unsyncedFlowsPerSlot limits the active flows per slot of a target until the view is
-	// synced. Otherwise, after a restart of the whole system, the first few targets that
-	// announce themselves would be overloaded with the flows of all callers.
-	unsyncedFlowsPerSlot = 2
 	// slowStartCostFactor is how much slower a target is during its slow start.
 	slowStartCostFactor = 1.6
 )
@@ -82,10 +78,10 @@
 // selectable reports whether a target may get a new flow.
 func (s *Steerer) selectable(now time.Duration, st *targetState, includeEjected bool) bool {
 	t := st.target
-	if !t.AcceptsNewFlows || (!includeEjected && (st.ejected(now) || s.dataCentreEjected(now, t.DataCentre))) {
+	if !t.AcceptsNewFlows {
 		return false
 	}
-	return s.view.Synced || st.activeFlows < unsyncedFlowsPerSlot*max(t.Slots, 1)
+	return includeEjected || (!st.ejected(now) && !s.dataCentreEjected(now, t.DataCentre))
 }
 
 // cost returns the load of a target per slot, raised by poor passive health, during its
--- a/steerer/view.go
+++ b/steerer/view.go
@@ -18,6 +18,8 @@
 	Class       string // class of the route's requests, for metrics
 	Address     netip.AddrPort
 	Timeout     time.Duration // time after which callers give up a request
+	Objective   time.Duration // latency within which callers want a response, 0 if none is known
+	Priority    int           // 0 is the highest
 	Shares      []Share
 	totalWeight int // sum of the weights of Shares
 }
@@ -56,11 +58,15 @@
 	// Synced says that the view holds all routes and targets: the address of a missing
 	// route is not configured, and a pool without targets is empty. Packets of unknown
 	// routes and targets are held until the view is synced.
-	Synced         bool
-	routes         map[netip.AddrPort]*Route
-	pools          map[string][]*Target
-	targets        []*Target
-	targetsByLabel map[Label]*Target
+	Synced bool
+	// ForwardingInstances is the number of instances that forward the packets of callers, this
+	// one included; 0 counts as 1.
+	ForwardingInstances int
+	acceptingSlots      map[string]int // slots of the targets that accept new flows, by pool
+	routes              map[netip.AddrPort]*Route
+	pools               map[string][]*Target
+	targets             []*Target
+	targetsByLabel      map[Label]*Target
 }
 
 // NewView returns a view that is not marked as synced. If two targets have the same
@@ -72,6 +78,7 @@
 		ConfigVersion: configVersion, LocalDataCentre: localDataCentre,
 		routes:         make(map[netip.AddrPort]*Route, len(routes)),
 		pools:          make(map[string][]*Target),
+		acceptingSlots: make(map[string]int),
 		targetsByLabel: make(map[Label]*Target, len(targets)),
 	}
 	for i := range routes {
@@ -90,6 +97,11 @@
 	for i := range targets {
 		v.addTarget(&targets[i])
 	}
+	for _, t := range v.targets {
+		if t.AcceptsNewFlows {
+			v.acceptingSlots[t.Pool] += max(t.Slots, 1)
+		}
+	}
 	return v
 }
 
@@ -134,6 +146,14 @@
 	return &clone
 }
 
+// WithForwardingInstances returns a copy of the view with ForwardingInstances set to the
+// argument.
+func (v *View) WithForwardingInstances(n int) *View {
+	clone := *v
+	clone.ForwardingInstances = n
+	return &clone
+}
+
 // AcceptingTargetCount returns the number of targets in the view that accept new flows.
 func (v *View) AcceptingTargetCount() int {
 	n := 0
