controller: a forwarding instance knows the size of the fleet right after a restart of everything

Hypothesis: half a second after a power loss of everything an instance has found four to six of nine others, takes too large a share of the targets, and all callers are late again.

Change: the leader of the voters publishes how many instances forward flows, as a gossip record; the target cache of storage instances holds it, so it comes with the records that an instance reads at its start.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -143,8 +143,7 @@
 	// otherwise that no majority of the voters is reachable.
 	cutOffSince        time.Time
 	stableTargets      map[string]stableTargets
-	countedInstances   int                     // result of forwardingInstances at countedRevision
-	countedRevision    uint64                  // revision of gossip
+	counted            instanceCount
 	loggedMembers      map[string]loggedMember // by instance name
 	nextPeriodicRun    time.Duration
 	publishedRevisions stateRevisions
@@ -470,28 +469,6 @@
 	return s
 }
 
-// forwardingInstances returns the number of live instances that forward flows, this one
-// included, or 0 if this one does not. Those are the instances that, like this one, have an
-// operator address or have none.
-func (c *Controller) forwardingInstances() int {
-	if !c.settings.HandlesFlows {
-		return 0
-	}
-	revision := c.gossip.Revision()
-	if c.countedInstances > 0 && c.countedRevision == revision {
-		return c.countedInstances
-	}
-	operates := c.settings.Self.OperatorAddress != ""
-	n := 1
-	for _, m := range c.gossip.Members() {
-		if m.Alive() && (m.OperatorAddress != "") == operates {
-			n++
-		}
-	}
-	c.countedInstances, c.countedRevision = n, revision
-	return n
-}
-
 func encodeCommand(cmd planner.Command) []byte {
 	b, err := messenger.EncodeCommand(cmd)
 	if err != nil {
--- a/controller/periodic.go
+++ b/controller/periodic.go
@@ -20,6 +20,7 @@
 		c.trackStorageContact()
 		c.advanceCatchUp(now)
 		c.adjustVoters(now)
+		c.publishFleetSize()
 		return
 	}
 	c.trackVoterContact()
--- a/controller/target_cache.go
+++ b/controller/target_cache.go
@@ -23,7 +23,7 @@
 	cacheMaxAge = announcer.UnreachableRetention
 )
 
-// targetCache keeps the records of targets on the disk. The records are soft state, because
+// targetCache keeps the records of targets, and that of the fleet size, on the disk. The records are soft state, because
 // targets announce themselves again within seconds. With the cache, callers need not wait for
 // those announcements when the whole deployment has restarted.
 //
@@ -31,10 +31,11 @@
 // records are therefore applied only after a majority of the voters has reported which
 // departures their disks hold: every acknowledged departure is among those.
 type targetCache struct {
-	savedRevision uint64 // registry revision of the last save
-	nextSave      time.Duration
-	saving        bool
-	restored      bool // the records from before the restart have been applied
+	savedRevision  uint64 // registry revision of the last save
+	savedFleetSize int    // fleet size in the last save
+	nextSave       time.Duration
+	saving         bool
+	restored       bool // the records from before the restart have been applied
 
 	pendingRecords       []gossiper.Record // read from the disk, not applied yet
 	answeredVoters       map[voter.ID]bool // voters whose departures are known
@@ -155,13 +156,16 @@
 // saveTargetCache writes the records of targets to the disk if they have changed. The write
 // runs outside of the control loop, so that the log does not wait for it.
 func (c *Controller) saveTargetCache(now time.Duration) {
-	revision := c.registry.Revision()
-	if c.journal == nil || c.targetCache.saving || now < c.targetCache.nextSave || revision == c.targetCache.savedRevision {
+	revision, fleet := c.registry.Revision(), c.recordedFleetSize()
+	if c.journal == nil || c.targetCache.saving || now < c.targetCache.nextSave {
+		return
+	}
+	if revision == c.targetCache.savedRevision && fleet == c.targetCache.savedFleetSize {
 		return
 	}
 	s := cachedTargets{SavedAt: c.clock.Now().Unix()}
 	for _, r := range c.gossip.AllRecords() {
-		if strings.HasPrefix(r.Key, gossiper.TargetKeyPrefix) {
+		if strings.HasPrefix(r.Key, gossiper.TargetKeyPrefix) || r.Key == fleetSizeKey {
 			s.Records = append(s.Records, r)
 		}
 	}
@@ -172,7 +176,7 @@
 		began := c.clock.Now()
 		err := writeTargetCache(c.settings.DataFolder, s)
 		took := c.clock.Now().Sub(began)
-		c.runInLoop(c.ctx, func() { c.targetCacheSaved(revision, took, err) })
+		c.runInLoop(c.ctx, func() { c.targetCacheSaved(revision, fleet, took, err) })
 	}()
 }
 
@@ -184,12 +188,12 @@
 	return journaler.SaveCache(folder, b)
 }
 
-func (c *Controller) targetCacheSaved(revision uint64, took time.Duration, err error) {
+func (c *Controller) targetCacheSaved(revision uint64, fleet int, took time.Duration, err error) {
 	c.targetCache.saving = false
 	c.targetCache.nextSave = c.now() + max(cacheSaveInterval, cacheSavePauseFactor*took)
 	if err != nil {
 		c.log.Warn("target-cache-save-failed", "error", err)
 		return
 	}
-	c.targetCache.savedRevision = revision
+	c.targetCache.savedRevision, c.targetCache.savedFleetSize = revision, fleet
 }
