journaler, voter, controller: three ways to lose what was acknowledged

Causes: Save did not check the size that reading accepts, so a record over 64 MiB was acknowledged and cut off as a torn tail at the next start. A storage instance with an empty disk and first-start set opened it at once, before it could hear that the deployment exists, and came up under the identity that it had before it lost the disk.

Change: an entry that does not fit is refused with a RecordSizeError before anything is written, a batch is split among records, and a whole record that is too long stops the start with file and offset.

--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -251,6 +251,37 @@
 	}
 }
 
+// A storage instance whose disk was lost starts again with its old settings, which allow it to
+// start a deployment. It must not vote under its old identity: it has forgotten what it voted
+// for and acknowledged.
+func TestLostDiskWithFirstStartGetsANewIdentity(t *testing.T) {
+	for _, firstStart := range []bool{false, true} {
+		t.Run(fmt.Sprintf("first start %t", firstStart), func(t *testing.T) {
+			is := is.New(t)
+			network := newTestNetwork(t)
+			folders := network.startThree(t)
+			network.stop(t, 0)
+			is.NoErr(os.RemoveAll(folders[0]))
+			c := network.start(t, 0, folders[0], firstStart)
+			identity := func() string {
+				var id voter.ID
+				c.runInLoop(context.Background(), func() {
+					if c.voter != nil {
+						id = c.voter.ID()
+					}
+				})
+				return string(id)
+			}
+			eventually(t, "data folder is opened", func() bool { return identity() != "" })
+			is.True(identity() != "10.0.0.1#"+bootstrapIdentity)
+			eventually(t, "instance reads the ruleset", func() bool { return readRulesetVersion(c) == 1 })
+			for n := range folders {
+				network.stop(t, n)
+			}
+		})
+	}
+}
+
 // The voter of a storage instance stops after a failed write, so that it sends nothing that is
 // not durable. The other instances accept rulesets meanwhile, and the voter restarts once the
 // disk works again.
--- a/journaler/errors.go
+++ b/journaler/errors.go
@@ -32,4 +32,16 @@
 	return e.Err
 }
 
+// RecordSizeError reports a snapshot or a log entry that does not fit in a record. Nothing has
+// been written.
+type RecordSizeError struct {
+	Size  int // bytes
+	Limit int // bytes
+}
+
+// Error implements error.
+func (e *RecordSizeError) Error() string {
+	return "a record of " + strconv.Itoa(e.Size) + " bytes is over the limit of " + strconv.Itoa(e.Limit)
+}
+
 const recoveryAdvice = "remove the data folder and start the instance again without -first-start; it comes back as a new voter"
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -32,10 +32,11 @@
 	temporarySuffix = ".new"
 )
 
-const (
-	headerSize     = 8        // bytes: 4 of payload length, 4 of checksum
-	maxPayloadSize = 64 << 20 // bytes; a longer payload length marks a record as invalid
-)
+const headerSize = 8 // bytes: 4 of payload length, 4 of checksum
+
+// maxPayloadSize is the size of a record's payload at most, in bytes. A longer payload length
+// marks a record as invalid.
+const maxPayloadSize = 64 << 20
 
 var castagnoliTable = crc32.MakeTable(crc32.Castagnoli)
 
@@ -205,6 +206,28 @@
 	return append(b, payload...)
 }
 
+// encodeLog returns the records that hold the hard state, unless it is nil, and the entries.
+// What does not fit in one record is split. The hard state comes last, because it may say that
+// the entries are committed. The error is a *RecordSizeError if an entry does not fit.
+func encodeLog(hardState *voter.HardState, entries []voter.Entry) ([]byte, error) {
+	payload, err := cbor.Marshal(record{HardState: hardState, Entries: entries})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode log record")
+	}
+	if len(payload) <= maxPayloadSize {
+		return encodeRecord(payload), nil
+	}
+	if len(entries) <= 1 {
+		return nil, &RecordSizeError{Size: len(payload), Limit: maxPayloadSize}
+	}
+	first, err := encodeLog(nil, entries[:len(entries)/2])
+	if err != nil {
+		return nil, err
+	}
+	rest, err := encodeLog(hardState, entries[len(entries)/2:])
+	return append(first, rest...), err
+}
+
 // readLog replays the log, truncates a torn tail and opens the log for appending.
 func (j *Journal) readLog(s *State) error {
 	path := filepath.Join(j.folder, LogFile)
@@ -239,12 +262,12 @@
 
 // replay applies the records of b to s and returns the size of the valid prefix in bytes. An
 // invalid last record comes from a crash during a write that was never acknowledged; an
-// invalid record that is followed by a valid one is corruption.
+// invalid record that is followed by a valid one, or that is whole but too long, is corruption.
 func replay(path string, b []byte, s *State) (int64, error) {
 	at := 0
 	for at < len(b) {
 		payload, n, valid := decodeRecord(b[at:])
-		if !valid && containsValidRecord(b[at+1:]) {
+		if !valid && (isOversizeRecord(b[at:]) || containsValidRecord(b[at+1:])) {
 			return 0, &CorruptionError{File: path, Offset: int64(at), Advice: recoveryAdvice}
 		}
 		if !valid {
@@ -262,6 +285,19 @@
 	return int64(at), nil
 }
 
+// isOversizeRecord reports whether b begins with a whole record whose payload is longer than
+// maxPayloadSize.
+func isOversizeRecord(b []byte) bool {
+	if len(b) < headerSize {
+		return false
+	}
+	length := int(binary.BigEndian.Uint32(b))
+	if length <= maxPayloadSize || headerSize+length > len(b) {
+		return false
+	}
+	return crc32.Checksum(b[headerSize:headerSize+length], castagnoliTable) == binary.BigEndian.Uint32(b[4:])
+}
+
 // containsValidRecord reports whether a valid record begins anywhere in b. A corrupt length
 // makes all that follows look like one torn record; this check tells the two cases apart.
 func containsValidRecord(b []byte) bool {
@@ -298,8 +334,9 @@
 }
 
 // Save appends the hard state, unless it is nil, and the entries to the log and syncs the
-// log. When Save returns nil, both are durable. After a failed write, Save and Compact
-// return a *StoppedError.
+// log. When Save returns nil, both are durable. Save returns a *RecordSizeError, and writes
+// nothing, if an entry does not fit in a record. After a failed write, Save and Compact return
+// a *StoppedError.
 func (j *Journal) Save(hardState *voter.HardState, entries []voter.Entry) error {
 	if j.writeErr != nil {
 		return &StoppedError{Err: j.writeErr}
@@ -307,11 +344,11 @@
 	if hardState == nil && len(entries) == 0 {
 		return nil
 	}
-	payload, err := cbor.Marshal(record{HardState: hardState, Entries: entries})
+	content, err := encodeLog(hardState, entries)
 	if err != nil {
-		return eris.Wrap(err, "encode log record")
+		return err
 	}
-	n, err := j.log.Write(encodeRecord(payload))
+	n, err := j.log.Write(content)
 	j.logSize += int64(n)
 	if err == nil {
 		err = j.log.Sync()
@@ -342,14 +379,16 @@
 	if err != nil {
 		return eris.Wrap(err, "encode snapshot")
 	}
-	if err := j.replaceFile(SnapshotFile, encodeRecord(snapshotPayload)); err != nil {
-		return err
+	if len(snapshotPayload) > maxPayloadSize {
+		return &RecordSizeError{Size: len(snapshotPayload), Limit: maxPayloadSize}
 	}
-	logPayload, err := cbor.Marshal(record{HardState: &hardState, Entries: entries})
+	content, err := encodeLog(&hardState, entries)
 	if err != nil {
-		return eris.Wrap(err, "encode log record")
+		return err
+	}
+	if err := j.replaceFile(SnapshotFile, encodeRecord(snapshotPayload)); err != nil {
+		return err
 	}
-	content := encodeRecord(logPayload)
 	if err := j.replaceFile(LogFile, content); err != nil {
 		return err
 	}
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -173,3 +173,67 @@
 	is.NoErr(err)
 	is.True(IsEmptyFolder(folder))
 }
+
+// A record over the size limit would be taken for a torn tail by the next Open, so it must not
+// be acknowledged.
+func TestOversizeEntryIsRefusedBeforeItIsWritten(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	j, _, err := Open(folder)
+	is.NoErr(err)
+	is.NoErr(j.Save(&voter.HardState{Term: 1}, []voter.Entry{entry(1, 1)}))
+	large := entry(2, 1)
+	large.Data = make([]byte, maxPayloadSize+1)
+	var tooLarge *RecordSizeError
+	is.True(errors.As(j.Save(nil, []voter.Entry{large}), &tooLarge))
+	is.NoErr(j.Save(nil, []voter.Entry{entry(2, 1)})) // the journal goes on
+	is.NoErr(j.Close())
+	_, state, err := Open(folder)
+	is.NoErr(err)
+	is.Equal(len(state.Entries), 2)
+}
+
+// Entries that together are over the size limit are split among records.
+func TestLargeBatchIsReadBack(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	j, _, err := Open(folder)
+	is.NoErr(err)
+	var batch []voter.Entry
+	for n := range uint64(9) {
+		e := entry(n+1, 1)
+		e.Data = make([]byte, maxPayloadSize/8)
+		batch = append(batch, e)
+	}
+	is.NoErr(j.Save(&voter.HardState{Term: 1, Commit: 9}, batch))
+	is.NoErr(j.Close())
+	j, state, err := Open(folder)
+	is.NoErr(err)
+	is.Equal(len(state.Entries), 9)
+	is.Equal(state.HardState.Commit, uint64(9))
+	is.NoErr(j.Compact(voter.Snapshot{Index: 1, Term: 1}, state.HardState, state.Entries[1:]))
+	is.NoErr(j.Close())
+	_, state, err = Open(folder)
+	is.NoErr(err)
+	is.Equal(len(state.Entries), 8)
+}
+
+// A whole record over the size limit is no torn tail: an earlier version acknowledged it.
+func TestOversizeRecordStopsTheStart(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	j, _, err := Open(folder)
+	is.NoErr(err)
+	is.NoErr(j.Save(nil, []voter.Entry{entry(1, 1)}))
+	size := j.LogSize()
+	is.NoErr(j.Close())
+	path := filepath.Join(folder, LogFile)
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(path, append(whole, encodeRecord(make([]byte, maxPayloadSize+1))...), 0o600))
+	_, _, err = Open(folder)
+	var corruption *CorruptionError
+	is.True(errors.As(err, &corruption))
+	is.Equal(corruption.File, path)
+	is.Equal(corruption.Offset, size)
+}
--- a/voter/replicate.go
+++ b/voter/replicate.go
@@ -207,7 +207,7 @@
 		v.snapshot = &s
 		v.commitIndex = s.Index
 		v.deliveredIndex = s.Index
-		v.savedIndex = v.log.lastIndex()
+		v.savedIndex = s.Index // installing a snapshot replaces the log on disk, so what follows is written again
 		v.output.InstallSnapshot = &s
 	}
 	v.send(Message{Kind: MessageAppendReply, To: m.From, Index: v.commitIndex, Round: m.Round, LastIndex: v.log.lastIndex()})
