diverter: the log of a held packet tells how long, and what its pool had in progress

Cause: an overload could be read from the log only by counting. A decision about a packet that was held carries the time, one that holds it for a busy pool the requests in progress and the limit.

--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -304,7 +304,7 @@
 	}
 	l.observer.Decided(decision)
 	l.apply(b, p, decision)
-	if decision.Reason != steerer.ByLabel {
+	if decision.Reason != steerer.ByLabel || heldFor > 0 {
 		l.logDecision(now, p, decision, configVersion)
 	}
 	return decision
@@ -342,7 +342,7 @@
 }
 
 // logDecision logs the decision about a packet. It is not called for packets that are
-// forwarded by their label; those are only counted.
+// forwarded by their label without having been held; those are only counted.
 func (l *Listener) logDecision(now time.Duration, p steerer.Packet, decision steerer.Decision, configVersion uint64) {
 	if !l.log.Enabled(context.Background(), slog.LevelInfo) {
 		return
@@ -355,6 +355,12 @@
 		attrs = append(attrs, slog.Any("target", decision.Target.Endpoint),
 			slog.Uint64("identity", decision.Target.Identity), slog.Duration("target-age", now-decision.Target.LastSeen))
 	}
+	if p.HeldFor > 0 {
+		attrs = append(attrs, slog.Duration("held", p.HeldFor))
+	}
+	if decision.Reason == steerer.Busy {
+		attrs = append(attrs, slog.Int("in-progress", decision.InProgress), slog.Float64("limit", decision.Limit))
+	}
 	if decision.Reason == steerer.UnknownLabel {
 		attrs = append(attrs, slog.Uint64("label", uint64(p.Label)))
 	}
--- a/steerer/holding.go
+++ b/steerer/holding.go
@@ -47,3 +47,8 @@
 		l.SetCapacity(s.view.acceptingSlots[pool], s.view.ForwardingInstances)
 	}
 }
+
+// busy returns the decision about a packet whose pool is busy.
+func busy(action Action, target *Target, route *Route, l *limiter.Limiter) Decision {
+	return Decision{Action: action, Reason: Busy, Target: target, Route: route, InProgress: l.InProgress(), Limit: l.Limit()}
+}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -100,6 +100,10 @@
 	Reason Reason
 	Target *Target // set if Action is Forward
 	Route  *Route  // nil if the address has no route
+	// InProgress and Limit tell, if Reason is Busy, how many requests this instance has in
+	// progress at the pool and how many it may have.
+	InProgress int
+	Limit      float64
 }
 
 // Timeouts of the flow table.
@@ -238,7 +242,7 @@
 			f = s.adoptFlow(now, p, route, target)
 		}
 		if !f.countsAsLoad && !f.closed && !f.limiter.Admit(now) {
-			return Decision{Action: holdFor(p, route.Timeout, Drop), Reason: Busy, Target: target, Route: route}
+			return busy(holdFor(p, route.Timeout, Drop), target, route, f.limiter)
 		}
 	}
 	if f != nil {
@@ -394,7 +398,7 @@
 	}
 	l := s.limiterOf(st.target.Pool)
 	if !l.Admit(now) {
-		return Decision{Action: Hold, Reason: Busy, Route: route}
+		return busy(Hold, nil, route, l)
 	}
 	f := &flowState{
 		targetState: st, route: route, limiter: l, steerer: s, placedAt: now, lastPacketAt: now,
