steerer: callers of repeatable requests are told that the target of their open flow is silent

A target acknowledges a request within milliseconds, also when it works slowly, so a request that the caller retransmits again and again was not received.

Change: once a flow's request has been retransmitted twice, and three retransmissions reached the target since it last answered any caller of this instance, the flow is reset and the target gets no new flows for two seconds. Only on routes whose requests may be repeated; the others are told nothing, because the request may have run. Copies that were delayed together count as one.

--- a/server/steerer_view.go
+++ b/server/steerer_view.go
@@ -3,6 +3,7 @@
 import (
 	"almondpick/announcer"
 	"almondpick/controller"
+	"almondpick/planner"
 	"almondpick/steerer"
 )
 
@@ -14,7 +15,10 @@
 	}
 	routes := make([]steerer.Route, 0, len(ruleset.Routes))
 	for _, r := range ruleset.Routes {
-		route := steerer.Route{Name: r.Name, Class: r.RetryPolicy.String(), Address: r.Address, Timeout: r.CallerTimeout, Objective: r.LatencyObjective, Priority: r.Priority}
+		route := steerer.Route{
+			Name: r.Name, Class: r.RetryPolicy.String(), Address: r.Address, Timeout: r.CallerTimeout,
+			Objective: r.LatencyObjective, Priority: r.Priority, Repeatable: r.RetryPolicy != planner.Once,
+		}
 		for _, s := range r.WeightedPools {
 			route.Shares = append(route.Shares, steerer.Share{Pool: s.Pool, Weight: s.Weight})
 		}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -87,11 +87,12 @@
 	LabelOfOtherPool    Reason = "foreign-label"   // the label's target is in a pool that the route never used
 	NotInitialized      Reason = "not-initialized" // no configuration received yet
 	Busy                Reason = "busy"            // the pool has as many requests in progress as it can answer in time
+	TargetSilent        Reason = "target-silent"   // the target of an open flow does not answer
 )
 
 // Reasons lists all values of Reason.
 var Reasons = []Reason{
-	ByLabel, Placed, RetransmissionKept, RetransmissionMoved, NoRoute, NoTarget, HeldTooLong, UnknownLabel, LabelOfOtherPool, NotInitialized, Busy,
+	ByLabel, Placed, RetransmissionKept, RetransmissionMoved, NoRoute, NoTarget, HeldTooLong, UnknownLabel, LabelOfOtherPool, NotInitialized, Busy, TargetSilent,
 }
 
 // Decision says what to do with one packet, and why.
@@ -134,6 +135,9 @@
 	established     bool          // the target has accepted the flow
 	adopted         bool          // the target was selected by another instance, or before this one started
 	closed          bool
+	requestSequence uint32        // sequence number of the first part of the last request
+	lastForwardAt   time.Duration // when that part was last forwarded
+	retransmissions int           // of that part, since the target last answered
 }
 
 // Steerer decides what to do with each packet of callers.
@@ -247,6 +251,9 @@
 	}
 	if f != nil {
 		s.updateFlow(now, f, p)
+		if route != nil && route.Repeatable && f.targetIsSilent() && !f.closed {
+			return s.resetSilentFlow(now, f)
+		}
 	}
 	return Decision{Action: Forward, Reason: ByLabel, Target: target, Route: route}
 }
@@ -272,10 +279,12 @@
 		f.loadExpiresAt = now + f.route.loadTimeout()
 		f.setCountsAsLoad(true)
 		s.recordEstablished(now, f)
+		f.recordProgress()
 	}
 	if f.responsePending && p.Ack != f.lastAck && f.requestAt > 0 {
 		s.recordLatency(now, f.targetState, now-f.requestAt)
 		f.limiter.Observe(now, now-f.requestAt, f.route.Objective)
+		f.recordProgress()
 		f.responsePending = false
 		f.setCountsAsLoad(false)
 	}
@@ -283,6 +292,7 @@
 	case p.Flags&(FIN|RST) != 0 && !f.closed:
 		s.closeFlow(now, f, p)
 	case p.PayloadSize > 0 && !f.closed:
+		f.recordTransmission(now, p)
 		f.beginRequest(now, p.Ack)
 	case p.Ack != f.lastAck:
 		f.responsePending = false
