limiter, steerer: slack while the pool is not congested; resets of open flows taken out again

Change: while the latest latencies are near those of an idle pool, the limit is higher by two standard deviations of a random number of requests. A request counts as load of its target until the route's timeout again, and against the limit of the pool until the objective. The reset of flows whose target seems silent is gone.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -33,6 +33,15 @@
 	minLimit = 1.0
 	// idleLatencyWeight is the weight of a new response in the average latency of an idle pool.
 	idleLatencyWeight = 0.02
+	// recentLatencyWeight is the weight of a new response in the average of the latest latencies.
+	recentLatencyWeight = 0.1
+	// congestionThreshold says from where a pool counts as congested: a latency this far between
+	// that of the idle pool and the goal.
+	congestionThreshold = 0.25
+	// slackDeviations is how many standard deviations of a random number of requests the limit is
+	// higher while the pool is not congested. The callers of this instance may be many for a
+	// moment while those of others are few.
+	slackDeviations = 2.0
 	// adjustmentGain is by how much one response changes the adjustment at most, relatively.
 	// A single slow response says little, because the work of requests varies.
 	adjustmentGain = 0.03
@@ -50,6 +59,9 @@
 	capacity    float64 // slots of the pool that are this instance's share
 	inProgress  int
 	idleLatency float64 // average latency as a fraction of the objective while slots are free; 0 if unknown
+	// recentLatency is the average latency of the latest responses as a fraction of the
+	// objective; 0 if unknown.
+	recentLatency float64
 	// adjustment is a factor on the limit. The share is an estimate: the callers of this
 	// instance may be more, or fewer, than those of other instances.
 	adjustment float64
@@ -88,7 +100,11 @@
 
 // Admit reports whether another request may be sent now.
 func (l *Limiter) Admit(now time.Duration) bool {
-	if float64(l.inProgress) < l.Limit() {
+	limit := l.Limit()
+	if !l.congested() {
+		limit += slackDeviations * math.Sqrt(limit)
+	}
+	if float64(l.inProgress) < limit {
 		return true
 	}
 	l.reached, l.reachedAt = true, now
@@ -105,6 +121,7 @@
 	}
 	ratio := float64(latency) / float64(objective)
 	l.observeIdle(ratio)
+	l.observeRecent(ratio)
 	deviation := max(-1, min(1, (latencyGoal-ratio)/latencyGoal))
 	if deviation > 0 && l.adjustment >= 1 && !l.binding(now) {
 		l.adjustment = max(1, l.adjustment*relaxation)
@@ -126,6 +143,24 @@
 	l.idleLatency += idleLatencyWeight * (min(ratio, 1) - l.idleLatency)
 }
 
+// observeRecent updates the average of the latest latencies.
+func (l *Limiter) observeRecent(ratio float64) {
+	if l.recentLatency == 0 {
+		l.recentLatency = ratio
+		return
+	}
+	l.recentLatency += recentLatencyWeight * (min(ratio, 1) - l.recentLatency)
+}
+
+// congested reports whether requests wait at the targets, or whether that is unknown because no
+// response has been observed.
+func (l *Limiter) congested() bool {
+	if l.recentLatency == 0 || l.idleLatency == 0 {
+		return true
+	}
+	return l.recentLatency > l.idleLatency+congestionThreshold*(latencyGoal-l.idleLatency)
+}
+
 // binding reports whether the limit has been reached lately.
 func (l *Limiter) binding(now time.Duration) bool {
 	return l.reached && now-l.reachedAt <= bindingTime
--- a/server/steerer_view.go
+++ b/server/steerer_view.go
@@ -3,7 +3,6 @@
 import (
 	"almondpick/announcer"
 	"almondpick/controller"
-	"almondpick/planner"
 	"almondpick/steerer"
 )
 
@@ -17,7 +16,7 @@
 	for _, r := range ruleset.Routes {
 		route := steerer.Route{
 			Name: r.Name, Class: r.RetryPolicy.String(), Address: r.Address, Timeout: r.CallerTimeout,
-			Objective: r.LatencyObjective, Priority: r.Priority, Repeatable: r.RetryPolicy != planner.Once,
+			Objective: r.LatencyObjective, Priority: r.Priority,
 		}
 		for _, s := range r.WeightedPools {
 			route.Shares = append(route.Shares, steerer.Share{Pool: s.Pool, Weight: s.Weight})
--- a/steerer/holding.go
+++ b/steerer/holding.go
@@ -21,9 +21,10 @@
 	return min(r.Timeout/holdTimeoutDivisor, MaxHoldTime)
 }
 
-// loadTimeout returns how long a request without a response counts as load. A response that
-// has not begun within the objective is late already, or came through another instance.
-func (r *Route) loadTimeout() time.Duration {
+// progressTimeout returns how long a request without a response counts as in progress at its
+// pool. If its response has not begun within the objective, the rest of the flow probably goes
+// through another instance, or the target is gone; neither may use up the limit.
+func (r *Route) progressTimeout() time.Duration {
 	if r.Objective <= 0 {
 		return r.Timeout
 	}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -87,12 +87,11 @@
 	LabelOfOtherPool    Reason = "foreign-label"   // the label's target is in a pool that the route never used
 	NotInitialized      Reason = "not-initialized" // no configuration received yet
 	Busy                Reason = "busy"            // the pool has as many requests in progress as it can answer in time
-	TargetSilent        Reason = "target-silent"   // the target of an open flow does not answer
 )
 
 // Reasons lists all values of Reason.
 var Reasons = []Reason{
-	ByLabel, Placed, RetransmissionKept, RetransmissionMoved, NoRoute, NoTarget, HeldTooLong, UnknownLabel, LabelOfOtherPool, NotInitialized, Busy, TargetSilent,
+	ByLabel, Placed, RetransmissionKept, RetransmissionMoved, NoRoute, NoTarget, HeldTooLong, UnknownLabel, LabelOfOtherPool, NotInitialized, Busy,
 }
 
 // Decision says what to do with one packet, and why.
@@ -120,24 +119,24 @@
 // flowState tracks a flow for which this instance selected the target, or on which a request
 // came through this instance.
 type flowState struct {
-	targetState     *targetState
-	route           *Route
-	limiter         *limiter.Limiter // of the target's pool
-	steerer         *Steerer
-	placedAt        time.Duration // when the target was selected
-	countsAsLoad    bool          // included in the active flows of its target and its pool
-	loadExpiresAt   time.Duration // countsAsLoad is cleared at this time
-	lastPacketAt    time.Duration // when the caller last sent a packet
-	lastAck         uint32        // last acknowledgement number of the caller
-	initialAck      uint32        // acknowledgement number before the first response
-	requestAt       time.Duration // when the caller began to send the last request
-	responsePending bool          // the response to the last request has not begun
-	established     bool          // the target has accepted the flow
-	adopted         bool          // the target was selected by another instance, or before this one started
-	closed          bool
-	requestSequence uint32        // sequence number of the first part of the last request
-	lastForwardAt   time.Duration // when that part was last forwarded
-	retransmissions int           // of that part, since the target last answered
+	targetState   *targetState
+	route         *Route
+	limiter       *limiter.Limiter // of the target's pool
+	steerer       *Steerer
+	placedAt      time.Duration // when the target was selected
+	countsAsLoad  bool          // included in the active flows of its target
+	inProgress    bool          // included in the requests in progress of its pool
+	loadExpiresAt time.Duration // countsAsLoad is cleared at this time
+	// progressExpiresAt is when inProgress is cleared.
+	progressExpiresAt time.Duration
+	lastPacketAt      time.Duration // when the caller last sent a packet
+	lastAck           uint32        // last acknowledgement number of the caller
+	initialAck        uint32        // acknowledgement number before the first response
+	requestAt         time.Duration // when the caller began to send the last request
+	responsePending   bool          // the response to the last request has not begun
+	established       bool          // the target has accepted the flow
+	adopted           bool          // the target was selected by another instance, or before this one started
+	closed            bool
 }
 
 // Steerer decides what to do with each packet of callers.
@@ -232,29 +231,30 @@
 	if p.Flags&SYN != 0 {
 		return s.handleSYN(now, p)
 	}
+	return s.handleLabel(now, p)
+}
+
+// handleLabel decides about a packet of a flow that has been opened, by its label.
+func (s *Steerer) handleLabel(now time.Duration, p Packet) Decision {
+	route := s.view.routes[p.Flow.Service]
 	target := s.view.targetsByLabel[p.Label]
 	if target == nil {
-		return Decision{Action: s.holdUntilSynced(p, Drop), Reason: UnknownLabel, Route: s.view.routes[p.Flow.Service]}
+		return Decision{Action: s.holdUntilSynced(p, Drop), Reason: UnknownLabel, Route: route}
 	}
-	route := s.view.routes[p.Flow.Service]
 	if route != nil && !route.usesPool(target.Pool) && !s.routePools[routePool{p.Flow.Service, target.Pool}] {
 		return Decision{Action: Drop, Reason: LabelOfOtherPool, Route: route}
 	}
 	f := s.flows[p.Flow]
-	if p.PayloadSize > 0 && route != nil {
-		if f == nil {
-			f = s.adoptFlow(now, p, route, target)
-		}
-		if !f.countsAsLoad && !f.closed && !f.limiter.Admit(now) {
-			return busy(holdFor(p, route.Timeout, Drop), target, route, f.limiter)
-		}
+	if f == nil && p.PayloadSize > 0 && route != nil {
+		f = s.adoptFlow(now, p, route, target)
 	}
-	if f != nil {
-		s.updateFlow(now, f, p)
-		if route != nil && route.Repeatable && f.targetIsSilent() && !f.closed {
-			return s.resetSilentFlow(now, f)
-		}
+	if f == nil {
+		return Decision{Action: Forward, Reason: ByLabel, Target: target, Route: route}
+	}
+	if p.PayloadSize > 0 && !f.inProgress && !f.closed && !f.limiter.Admit(now) {
+		return busy(holdFor(p, f.route.Timeout, Drop), target, route, f.limiter)
 	}
+	s.updateFlow(now, f, p)
 	return Decision{Action: Forward, Reason: ByLabel, Target: target, Route: route}
 }
 
@@ -276,15 +276,13 @@
 	if !f.established {
 		f.established = true
 		f.lastAck, f.initialAck = p.Ack, p.Ack
-		f.loadExpiresAt = now + f.route.loadTimeout()
+		f.loadExpiresAt, f.progressExpiresAt = now+f.route.Timeout, now+f.route.progressTimeout()
 		f.setCountsAsLoad(true)
 		s.recordEstablished(now, f)
-		f.recordProgress()
 	}
 	if f.responsePending && p.Ack != f.lastAck && f.requestAt > 0 {
 		s.recordLatency(now, f.targetState, now-f.requestAt)
 		f.limiter.Observe(now, now-f.requestAt, f.route.Objective)
-		f.recordProgress()
 		f.responsePending = false
 		f.setCountsAsLoad(false)
 	}
@@ -292,7 +290,6 @@
 	case p.Flags&(FIN|RST) != 0 && !f.closed:
 		s.closeFlow(now, f, p)
 	case p.PayloadSize > 0 && !f.closed:
-		f.recordTransmission(now, p)
 		f.beginRequest(now, p.Ack)
 	case p.Ack != f.lastAck:
 		f.responsePending = false
@@ -307,7 +304,7 @@
 		f.responsePending, f.requestAt = true, now
 	}
 	f.lastAck = ack
-	f.loadExpiresAt = now + f.route.loadTimeout()
+	f.loadExpiresAt, f.progressExpiresAt = now+f.route.Timeout, now+f.route.progressTimeout()
 	f.setCountsAsLoad(true)
 }
 
@@ -322,22 +319,35 @@
 	s.onFlowEnd(f.route, now-f.placedAt)
 }
 
-// setCountsAsLoad adds the flow to, or removes it from, the active flows of its target.
+// setCountsAsLoad adds the flow to, or removes it from, the active flows of its target and the
+// requests in progress of its pool.
 func (f *flowState) setCountsAsLoad(counts bool) {
+	f.setInProgress(counts)
 	if counts == f.countsAsLoad {
 		return
 	}
 	f.countsAsLoad = counts
 	if counts {
 		f.targetState.activeFlows++
-		f.limiter.Begin()
 	} else {
 		f.targetState.activeFlows--
-		f.limiter.End()
-		f.steerer.freed = true
 	}
 }
 
+// setInProgress adds the flow to, or removes it from, the requests in progress of its pool.
+func (f *flowState) setInProgress(inProgress bool) {
+	if inProgress == f.inProgress {
+		return
+	}
+	f.inProgress = inProgress
+	if inProgress {
+		f.limiter.Begin()
+		return
+	}
+	f.limiter.End()
+	f.steerer.freed = true
+}
+
 // TakeFreed reports whether a request has ended since the last call, so that a packet that is
 // held because its pool is busy may be forwarded now.
 func (s *Steerer) TakeFreed() bool {
@@ -361,6 +371,9 @@
 		if s.view.Synced && f.presumedRefused(now) {
 			s.recordRefusal(now, f.targetState)
 		}
+		if now >= f.progressExpiresAt {
+			f.setInProgress(false)
+		}
 		if now >= f.loadExpiresAt {
 			f.setCountsAsLoad(false)
 		}
@@ -399,6 +412,12 @@
 		previous.setCountsAsLoad(false)
 		delete(s.flows, p.Flow)
 	}
+	return s.placeFlow(now, p, route, reason)
+}
+
+// placeFlow selects a target for a flow. A new flow waits while its pool is busy; one that moves
+// away from a target that does not answer has waited before.
+func (s *Steerer) placeFlow(now time.Duration, p Packet, route *Route, reason Reason) Decision {
 	if p.HeldFor > route.maxSYNHoldTime() {
 		return Decision{Action: Reset, Reason: HeldTooLong, Route: route}
 	}
@@ -407,12 +426,12 @@
 		return Decision{Action: s.holdUntilSynced(p, Reset), Reason: NoTarget, Route: route}
 	}
 	l := s.limiterOf(st.target.Pool)
-	if !l.Admit(now) {
+	if reason == Placed && !l.Admit(now) {
 		return busy(Hold, nil, route, l)
 	}
 	f := &flowState{
 		targetState: st, route: route, limiter: l, steerer: s, placedAt: now, lastPacketAt: now,
-		responsePending: true, loadExpiresAt: now + handshakeLoadTimeout,
+		responsePending: true, loadExpiresAt: now + handshakeLoadTimeout, progressExpiresAt: now + handshakeLoadTimeout,
 	}
 	f.setCountsAsLoad(true)
 	s.flows[p.Flow] = f
--- a/steerer/target_selection.go
+++ b/steerer/target_selection.go
@@ -8,9 +8,6 @@
 	target      *Target
 	activeFlows int // flows that this instance sent to the target and that count as its load
 	health      passiveHealth
-	// unansweredRetransmissions counts the retransmissions of requests on open flows since the
-	// target last answered any.
-	unansweredRetransmissions int
 }
 
 // Parameters of target selection.
--- a/steerer/view.go
+++ b/steerer/view.go
@@ -20,7 +20,6 @@
 	Timeout     time.Duration // time after which callers give up a request
 	Objective   time.Duration // latency within which callers want a response, 0 if none is known
 	Priority    int           // 0 is the highest
-	Repeatable  bool          // requests may run more than once
 	Shares      []Share
 	totalWeight int // sum of the weights of Shares
 }
