meter, diverter: how long packets are held, and the load and limit of each pool

Cause: an overload showed only in the log. Change: a histogram of the time that packets are held, by class and by what became of them, and gauges of the requests in progress and the limit of each pool, read at a scrape. Packets that are not held pass no new code.

--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -46,6 +46,8 @@
 // Observer is notified of decisions, but not when a held packet remains held.
 type Observer interface {
 	Decided(decision steerer.Decision)
+	// Released is called besides for a packet that was held and is held no longer.
+	Released(decision steerer.Decision, heldFor time.Duration)
 }
 
 // Buffer sizes.
@@ -102,7 +104,8 @@
 
 type noObserver struct{}
 
-func (noObserver) Decided(steerer.Decision) {}
+func (noObserver) Decided(steerer.Decision)                 {}
+func (noObserver) Released(steerer.Decision, time.Duration) {}
 
 // Listen opens a UDP socket at the address and starts to handle packets. The steerer gets
 // times as durations since start.
@@ -147,6 +150,13 @@
 	return &l.counters
 }
 
+// PoolLoads returns the load of every pool by this instance.
+func (l *Listener) PoolLoads() []steerer.PoolLoad {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.steerer.PoolLoads()
+}
+
 // Addr returns the local address of the socket.
 func (l *Listener) Addr() net.Addr {
 	return l.conn.LocalAddr()
@@ -303,6 +313,9 @@
 		l.signalRetry()
 	}
 	l.observer.Decided(decision)
+	if !firstAttempt {
+		l.observer.Released(decision, heldFor)
+	}
 	l.apply(b, p, decision)
 	if decision.Reason != steerer.ByLabel || heldFor > 0 {
 		l.logDecision(now, p, decision, configVersion)
--- a/server/node.go
+++ b/server/node.go
@@ -108,6 +108,7 @@
 		if err != nil {
 			return err
 		}
+		n.meter.RegisterPoolLoads(n.diverter.PoolLoads)
 	}
 	n.controller, err = controller.New(n.controllerSettings(), n.clock, n.transport, keys, n.controllerOptions...)
 	if err != nil {
--- a/steerer/holding.go
+++ b/steerer/holding.go
@@ -53,3 +53,19 @@
 func busy(action Action, target *Target, route *Route, l *limiter.Limiter) Decision {
 	return Decision{Action: action, Reason: Busy, Target: target, Route: route, InProgress: l.InProgress(), Limit: l.Limit()}
 }
+
+// PoolLoad is the load of a pool by this instance.
+type PoolLoad struct {
+	Pool       string
+	InProgress int
+	Limit      float64 // requests that may be in progress
+}
+
+// PoolLoads returns the load of every pool to which this instance has sent requests.
+func (s *Steerer) PoolLoads() []PoolLoad {
+	loads := make([]PoolLoad, 0, len(s.limiters))
+	for pool, l := range s.limiters {
+		loads = append(loads, PoolLoad{Pool: pool, InProgress: l.InProgress(), Limit: l.Limit()})
+	}
+	return loads
+}
