announcer, picker, measurer, requester, ranker, dispatcher: code that nothing calls is gone

Change: SlowStartDuration, HintsIgnored, ExpectsNoBrokenFlows, counters of sent records and offered requests, the targets kept beside a pool, Order, and the counters of a pool that nobody read. No test changed.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -65,7 +65,6 @@
 	LoadRepublishInterval = 10 * time.Second // least time before a change of the load alone is published
 	UnreachableRetention  = 10 * time.Minute // after which an unreachable target is deleted
 	JobChangeQuarantine   = 10 * time.Second // for which a target gets no work after the job at its endpoint has changed
-	SlowStartDuration     = 10 * time.Second // for which a target that announced SlowStart or has just been registered is slow
 	MonitorTakeoverDelay  = 2 * time.Second  // after which another instance replaces the unreachable monitor of a target
 )
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -104,12 +104,6 @@
 	meanRunSeconds float64     // exponentially weighted moving average
 	retryBudget    float64     // retries that may be made now
 	expiredIDs     []RequestID // dequeued after their deadline, not yet returned by Expire
-	stats          Stats
-}
-
-// Stats are the counters of a pool since its creation.
-type Stats struct {
-	Submitted, Started, Refused, Expired, Shed, Retried, Ejections uint64
 }
 
 // NewPool returns a pool without targets.
@@ -117,11 +111,6 @@
 	return &Pool{meanRunSeconds: initialRunTime.Seconds(), retryBudget: maxRetryBudget}
 }
 
-// Stats returns the counters.
-func (p *Pool) Stats() Stats {
-	return p.stats
-}
-
 // QueuedRequests returns the number of requests in the queue.
 func (p *Pool) QueuedRequests() int {
 	return p.queuedRequests
@@ -185,7 +174,6 @@
 // Submit requests a slot. A later call returns the assignment of a queued request, or
 // Expire returns its ID. Each submitted request adds to the retry budget.
 func (p *Pool) Submit(now time.Duration, request Request) (Admission, Assignment) {
-	p.stats.Submitted++
 	p.retryBudget = min(maxRetryBudget, p.retryBudget+retryBudgetPerRequest)
 	return p.admit(now, request)
 }
@@ -199,7 +187,6 @@
 		}
 	}
 	if p.queuedFor(request.Tenant) >= maxQueuedPerTenant || now+p.EstimateWait(now, request.Tenant) > request.Deadline {
-		p.stats.Refused++
 		return Refused, Assignment{}
 	}
 	p.enqueue(request)
@@ -241,7 +228,6 @@
 func (p *Pool) assign(t *targetState, request Request) Assignment {
 	t.runningRequests++
 	t.startsPerSlot += 1 / float64(max(1, t.Slots))
-	p.stats.Started++
 	return Assignment{RequestID: request.ID, Target: t.Name}
 }
 
@@ -360,7 +346,6 @@
 		t.ejectionTime = 0
 		p.meanRunSeconds += runTimeSmoothing * (runTime.Seconds() - p.meanRunSeconds)
 	case ResultShed:
-		p.stats.Shed++
 		t.pausedUntil = now + shedBackoff
 	case ResultError, ResultConnectionFailed:
 		t.consecutiveFailures++
@@ -376,18 +361,15 @@
 	t.ejectionTime = min(maxEjectionTime, max(baseEjectionTime, 2*t.ejectionTime))
 	t.ejectedUntil = now + t.ejectionTime
 	t.consecutiveFailures = consecutiveFailuresToEject - 1 // the next failure ejects the target again
-	p.stats.Ejections++
 }
 
 // Retry requests a slot for another attempt of a request that did not run or is
 // idempotent. The request is refused when the retry budget is used up.
 func (p *Pool) Retry(now time.Duration, request Request) (Admission, Assignment) {
 	if p.retryBudget < 1 {
-		p.stats.Refused++
 		return Refused, Assignment{}
 	}
 	p.retryBudget--
-	p.stats.Retried++
 	return p.admit(now, request)
 }
 
@@ -428,7 +410,6 @@
 	}
 	for _, id := range expired {
 		p.Cancel(id) // returns false for those that startQueued has dequeued already
-		p.stats.Expired++
 	}
 	return expired, p.startQueued(now)
 }
--- a/measurer/flow_scenario.go
+++ b/measurer/flow_scenario.go
@@ -59,17 +59,6 @@
 	return names
 }
 
-// ExpectsNoBrokenFlows reports whether the policy Almondpick must not break a flow in the
-// named scenario. It returns false for scenarios without flows.
-func ExpectsNoBrokenFlows(name string) bool {
-	for _, s := range flowScenarios() {
-		if s.name == name {
-			return s.expectsNoBrokenFlows
-		}
-	}
-	return false
-}
-
 // UnknownNameError reports a name that does not exist.
 type UnknownNameError struct {
 	Kind    string // deployment, policy or scenario
--- a/measurer/flow_sim.go
+++ b/measurer/flow_sim.go
@@ -447,7 +447,6 @@
 			continue
 		}
 		s.countControlBytes(inst, float64(syncOverheadBytes+len(m.Records)*messenger.SyncRecordSize))
-		s.report.syncRecords += len(m.Records)
 		s.sendToInstance(inst, to, eventSync, func(e *event) { e.sync, e.sender = m, int32(i) })
 	}
 }
--- a/measurer/report.go
+++ b/measurer/report.go
@@ -80,9 +80,9 @@
 	ExtraRequestShare   float64           `json:"extra-work-share"`  // attempts beyond the completed requests, divided by these
 	ImbalanceOverTime   []ImbalanceSample `json:"imbalance-over-time"`
 
-	fabricPackets, relayedPackets, syncRecords int
-	controlBytes                               float64
-	oldestBrokenFlowAge                        time.Duration
+	fabricPackets, relayedPackets int
+	controlBytes                  float64
+	oldestBrokenFlowAge           time.Duration
 }
 
 // imbalanceSums holds the sums of the imbalance samples of the first service.
--- a/measurer/slot_sim.go
+++ b/measurer/slot_sim.go
@@ -146,12 +146,12 @@
 	goodputWindow   [2]time.Duration            // in which goodput is measured; zero for the whole run
 	noisyTenantLoad float64                     // offered load of a second tenant, as a share of the capacity
 
-	waitsMS                            []float64 // from arrival to start; only requests of the quiet tenant
-	refusedRequests, sentRequests      int       // refused: only requests of the quiet tenant; sent: every attempt
-	completedRequests, offeredRequests int
-	goodputSeconds                     float64 // sum of the service times of completed requests
-	idealQueue                         idealQueue
-	idealWaitsMS                       []float64
+	waitsMS                       []float64 // from arrival to start; only requests of the quiet tenant
+	refusedRequests, sentRequests int       // refused: only requests of the quiet tenant; sent: every attempt
+	completedRequests             int
+	goodputSeconds                float64 // sum of the service times of completed requests
+	idealQueue                    idealQueue
+	idealWaitsMS                  []float64
 }
 
 // idealQueue is a first-come, first-served queue for all slots without network delays.
@@ -277,7 +277,6 @@
 	}
 	s.requests[req.id] = req
 	if tenant == quietTenant {
-		s.offeredRequests++
 		s.idealWaitsMS = append(s.idealWaitsMS, milliseconds(s.idealQueue.admit(s.now, req.serviceTime)))
 	}
 	if s.usesPools() {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -77,12 +77,11 @@
 	onFlowEnd          func(s *Service, lasted time.Duration)
 }
 
-// Counters are the totals since the start of a Picker. HintsIgnored is never incremented.
+// Counters are the totals since the start of a Picker.
 type Counters struct {
 	FlowsOpened, SecondChoicePicked, DefaultTargetUsed, Lookups, LookupsRateLimited, TargetsReplaced uint64
 	EvictedOwned, EvictedHints, EvictedReplicas, HintsCorrected                                      uint64
 	NonDefaultFlowsOpened, PendingFlowsResolved                                                      uint64
-	HintsIgnored                                                                                     uint64
 }
 
 // EntryCounts are the numbers of table entries of each kind, and of the non-default
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -57,38 +57,3 @@
 	}
 	return first, second
 }
-
-// Order appends to dst the indexes of nodes in rank order for key, at most limit
-// of them, and returns the extended slice. It searches for the maximum once per
-// index, which is cheapest for the small limits that its callers use.
-func Order(dst []int, key uint64, nodes []uint64, limit int) []int {
-	start := len(dst)
-	for len(dst)-start < limit {
-		best := -1
-		var topScore uint64
-		for i, n := range nodes {
-			if contains(dst[start:], i) {
-				continue
-			}
-			s := Score(key, n)
-			if best < 0 || s > topScore || (s == topScore && n > nodes[best]) {
-				best = i
-				topScore = s
-			}
-		}
-		if best < 0 {
-			return dst
-		}
-		dst = append(dst, best)
-	}
-	return dst
-}
-
-func contains(indexes []int, index int) bool {
-	for _, x := range indexes {
-		if x == index {
-			return true
-		}
-	}
-	return false
-}
--- a/requester/slot_pools.go
+++ b/requester/slot_pools.go
@@ -24,7 +24,6 @@
 type slotPool struct {
 	*dispatcher.Pool
 	waiters map[dispatcher.RequestID]chan string // receives the target's name; closed on expiry
-	targets []dispatcher.Target
 }
 
 func newSlotPools(now func() time.Duration) *slotPools {
@@ -49,12 +48,10 @@
 			pool = &slotPool{Pool: dispatcher.NewPool(), waiters: make(map[dispatcher.RequestID]chan string)}
 			p.poolByName[name] = pool
 		}
-		pool.targets = targets
 		pool.notifyWaiters(pool.SetTargets(p.now(), targets))
 	}
 	for name, pool := range p.poolByName {
 		if _, ok := targetsByPool[name]; !ok {
-			pool.targets = nil
 			pool.SetTargets(p.now(), nil)
 		}
 	}
