--- a/diverter/retry_test.go
+++ b/diverter/retry_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -76,9 +77,14 @@
 }
 
 func newListenerTest(t *testing.T) *listenerTest {
+	t.Helper()
+	return newListenerTestWithCodec(t, func(caller netip.AddrPort) Codec { return oneByteCodec{caller: caller} })
+}
+
+func newListenerTestWithCodec(t *testing.T, newCodec func(caller netip.AddrPort) Codec) *listenerTest {
 	t.Helper()
 	lt := &listenerTest{clock: &manualClock{now: time.Unix(0, 0), ticks: make(chan time.Time, 1)}, caller: loopback(t), target: loopback(t)}
-	codec := oneByteCodec{caller: lt.caller.LocalAddr().(*net.UDPAddr).AddrPort()}
+	codec := newCodec(lt.caller.LocalAddr().(*net.UDPAddr).AddrPort())
 	var err error
 	lt.listener, err = Listen(netip.MustParseAddrPort("127.0.0.1:0"), codec, lt.clock, lt.clock.now)
 	if err != nil {
@@ -139,3 +145,42 @@
 	lt.clock.advance(steerer.MaxHoldTime)
 	is.Equal(readPacket(t, lt.caller), "refused")
 }
+
+// flagCodec decodes packets of two bytes: the caller's port, and the flags.
+type flagCodec struct{ oneByteCodec }
+
+func (c flagCodec) Decode(b []byte) (steerer.Packet, error) {
+	p, err := c.oneByteCodec.Decode(b)
+	p.Flags = steerer.Flags(b[1])
+	p.Label = steerer.LabelOf(1)
+	return p, err
+}
+
+// The pool is busy, so a SYN is held. It must be forwarded as soon as one of the requests ends,
+// not at the next tick.
+func TestHeldPacketIsForwardedWhenARequestEnds(t *testing.T) {
+	is := is.New(t)
+	lt := newListenerTestWithCodec(t, func(caller netip.AddrPort) Codec { return flagCodec{oneByteCodec{caller: caller}} })
+	lt.listener.SetView(lt.view())
+	send := func(port byte, flags steerer.Flags) {
+		_, err := lt.caller.WriteTo([]byte{port, byte(flags)}, lt.listener.Addr())
+		is.NoErr(err)
+	}
+	port := byte(1)
+	for ; lt.listener.Counters().Held.Load() == 0; port++ {
+		received := lt.listener.Counters().Received.Load()
+		send(port, steerer.SYN)
+		for c := lt.listener.Counters(); c.Received.Load() == received || c.Held.Load()+c.Forwarded.Load() <= received; {
+			runtime.Gosched()
+		}
+	}
+	held := port - 1
+	for n := byte(1); n < held; n++ {
+		is.Equal(readPacket(t, lt.target)[0], n)
+	}
+	is.Equal(lt.listener.PoolLoads()[0].InProgress, int(held)-1)
+	send(1, steerer.FIN)
+	got := []string{readPacket(t, lt.target), readPacket(t, lt.target)} // sent by two goroutines, in any order
+	is.True(slices.Contains(got, string([]byte{1, byte(steerer.FIN)})))
+	is.True(slices.Contains(got, string([]byte{held, byte(steerer.SYN)})))
+}
