steerer, diverter: a held SYN is dropped once its caller no longer sends to this instance

Cause, found in reading: a SYN is held for up to 1.3 s now, and the fabric may give the caller's next one to another instance, which opens the flow. The held one was then placed as well; its target answers too, and the flow gets a second label in mid-handshake.

Change: the number of a SYN tells when the next one is due. A held SYN whose successor is 100 ms overdue is dropped, reason caller-silent.

--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -194,7 +194,7 @@
 		l.counters.Received.Add(1)
 		now := l.now()
 		l.lastPacketAt.Store(int64(now))
-		l.handlePacket(now, buffer[:headroom+n], 0)
+		l.handlePacket(now, buffer[:headroom+n], nil)
 	}
 }
 
@@ -262,7 +262,7 @@
 			l.requeue(held)
 			continue
 		}
-		decision := l.handlePacket(now, held.packet, max(now-held.sentAt, 1))
+		decision := l.handlePacket(now, held.packet, &held)
 		if decision.Action != steerer.Hold {
 			continue
 		}
@@ -281,10 +281,10 @@
 }
 
 // handlePacket decides about the packet that begins after the headroom of b and applies the
-// decision. heldFor is how long the packet has been held, 0 for a packet that has just been
+// decision. held is the packet's entry in the queue, nil for a packet that has just been
 // received. Only the latter is added to the queue if the decision is Hold; the caller
 // requeues the others.
-func (l *Listener) handlePacket(now time.Duration, b []byte, heldFor time.Duration) steerer.Decision {
+func (l *Listener) handlePacket(now time.Duration, b []byte, held *heldPacket) steerer.Decision {
 	headroom := l.codec.Headroom()
 	p, err := l.codec.Decode(b[headroom:])
 	if err != nil {
@@ -292,8 +292,10 @@
 		l.log.Debug("packet-malformed", "error", err)
 		return steerer.Decision{Action: steerer.Drop}
 	}
-	p.HeldFor = heldFor
-	firstAttempt := heldFor == 0
+	firstAttempt := held == nil
+	if held != nil {
+		p.HeldFor, p.ReceivedBefore = max(now-held.sentAt, 1), now-held.receivedAt
+	}
 	l.mu.Lock()
 	decision := l.steerer.Decide(now, p)
 	configVersion := l.configVersion
@@ -314,10 +316,10 @@
 	}
 	l.observer.Decided(decision)
 	if !firstAttempt {
-		l.observer.Released(decision, heldFor)
+		l.observer.Released(decision, p.HeldFor)
 	}
 	l.apply(b, p, decision)
-	if decision.Reason != steerer.ByLabel || heldFor > 0 {
+	if decision.Reason != steerer.ByLabel || p.HeldFor > 0 {
 		l.logDecision(now, p, decision, configVersion)
 	}
 	return decision
--- a/diverter/hold_queue.go
+++ b/diverter/hold_queue.go
@@ -19,12 +19,13 @@
 
 // heldPacket is a packet to be decided about again.
 type heldPacket struct {
-	sentAt   time.Duration // when the caller first sent it, or when it was received if that is not known
-	flow     steerer.Flow
-	sequence uint32
-	packet   []byte // including the headroom
-	isSYN    bool
-	route    *steerer.Route // nil if the address had no route
+	sentAt     time.Duration // when the caller first sent it, or when it was received if that is not known
+	receivedAt time.Duration // when the transmission in packet was received
+	flow       steerer.Flow
+	sequence   uint32
+	packet     []byte // including the headroom
+	isSYN      bool
+	route      *steerer.Route // nil if the address had no route
 	// decidedAt is when it was last decided about the packet in the queue.
 	decidedAt time.Duration
 }
@@ -59,7 +60,7 @@
 // returns false if the queue is full.
 func (q *holdQueue) enqueue(now time.Duration, p steerer.Packet, route *steerer.Route, packet []byte) bool {
 	held := heldPacket{
-		sentAt: now - p.SentBefore, flow: p.Flow, sequence: p.Sequence, packet: slices.Clone(packet),
+		sentAt: now - p.SentBefore, receivedAt: now, flow: p.Flow, sequence: p.Sequence, packet: slices.Clone(packet),
 		isSYN: p.Flags&steerer.SYN != 0, route: route,
 	}
 	index := slices.IndexFunc(q.packets, func(queued heldPacket) bool { return queued.sameAs(&held) })
--- a/steerer/holding.go
+++ b/steerer/holding.go
@@ -16,6 +16,16 @@
 // caller may have given up: forwarding its flow would take capacity from other callers.
 const holdTimeoutDivisor = 2
 
+// nextSYNTolerance is by how much the next SYN of a caller may be late.
+const nextSYNTolerance = 100 * time.Millisecond
+
+// callerIsSilent reports whether the caller of a held SYN should have sent the next one by now.
+// It has given up, or its packets reach another instance, which may have opened the flow: a
+// second target must not answer it.
+func (p *Packet) callerIsSilent() bool {
+	return p.NextSYNAfter > 0 && p.ReceivedBefore > p.NextSYNAfter+nextSYNTolerance
+}
+
 // maxSYNHoldTime returns how long a SYN of the route is held at most.
 func (r *Route) maxSYNHoldTime() time.Duration {
 	return min(r.Timeout/holdTimeoutDivisor, MaxHoldTime)
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -50,9 +50,14 @@
 	// HeldFor is how long the packet has been held, counted from the first
 	// transmission of a SYN that has been retransmitted.
 	HeldFor time.Duration
+	// ReceivedBefore is how long ago the packet was received, 0 if it has just been received.
+	ReceivedBefore time.Duration
 	// SentBefore is, for a retransmitted SYN, how long before it the first one was sent.
 	SentBefore time.Duration
-	Sequence   uint32 // sequence number of the first byte
+	// NextSYNAfter is, for a SYN, how long after it the caller sends the next one or gives up; 0
+	// if that is not known.
+	NextSYNAfter time.Duration
+	Sequence     uint32 // sequence number of the first byte
 }
 
 // Action says what to do with a packet.
@@ -86,12 +91,13 @@
 	UnknownLabel        Reason = "unknown-label"   // no known target has the label
 	LabelOfOtherPool    Reason = "foreign-label"   // the label's target is in a pool that the route never used
 	NotInitialized      Reason = "not-initialized" // no configuration received yet
+	CallerSilent        Reason = "caller-silent"   // the caller of a held SYN has not sent the next one to this instance
 	Busy                Reason = "busy"            // the pool has as many requests in progress as it can answer in time
 )
 
 // Reasons lists all values of Reason.
 var Reasons = []Reason{
-	ByLabel, Placed, RetransmissionKept, RetransmissionMoved, NoRoute, NoTarget, HeldTooLong, UnknownLabel, LabelOfOtherPool, NotInitialized, Busy,
+	ByLabel, Placed, RetransmissionKept, RetransmissionMoved, NoRoute, NoTarget, HeldTooLong, UnknownLabel, LabelOfOtherPool, NotInitialized, CallerSilent, Busy,
 }
 
 // Decision says what to do with one packet, and why.
@@ -392,6 +398,9 @@
 // first one unless that target cannot have answered: a second target would answer too,
 // and the two ends of the flow would disagree on the label.
 func (s *Steerer) handleSYN(now time.Duration, p Packet) Decision {
+	if p.callerIsSilent() {
+		return Decision{Action: Drop, Reason: CallerSilent, Route: s.view.routes[p.Flow.Service]}
+	}
 	if s.view.ConfigVersion == 0 {
 		return Decision{Action: holdFor(p, MaxHoldTime, Reset), Reason: NotInitialized}
 	}
