--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -292,39 +292,47 @@
 		l.log.Debug("packet-malformed", "error", err)
 		return steerer.Decision{Action: steerer.Drop}
 	}
-	firstAttempt := held == nil
 	if held != nil {
 		p.HeldFor, p.ReceivedBefore = max(now-held.sentAt, 1), now-held.receivedAt
 	}
-	l.mu.Lock()
-	decision := l.steerer.Decide(now, p)
-	configVersion := l.configVersion
-	mayRelease := firstAttempt && l.steerer.TakeFreed() && len(l.queue.packets) > 0
-	if mayRelease {
-		l.queue.retryNow()
-	}
-	queueFull := decision.Action == steerer.Hold && firstAttempt && !l.queue.enqueue(now, p, decision.Route, b)
-	l.mu.Unlock()
-	if queueFull {
-		decision.Action = steerer.Drop
-	}
-	if decision.Action == steerer.Hold && !firstAttempt {
+	decision, configVersion := l.decide(now, p, b, held == nil)
+	if held != nil && decision.Action == steerer.Hold {
 		return decision
 	}
-	if decision.Action == steerer.Hold || mayRelease {
-		l.signalRetry()
-	}
 	l.observer.Decided(decision)
-	if !firstAttempt {
+	if held != nil {
 		l.observer.Released(decision, p.HeldFor)
 	}
 	l.apply(b, p, decision)
-	if decision.Reason != steerer.ByLabel || p.HeldFor > 0 {
+	if decision.Reason != steerer.ByLabel || held != nil {
 		l.logDecision(now, p, decision, configVersion)
 	}
 	return decision
 }
 
+// decide returns the steerer's decision about a packet and the version of the configuration that
+// it rests on. A packet that has just been received is added to the queue if it is held, and
+// has the others decided about again if it ends a request.
+func (l *Listener) decide(now time.Duration, p steerer.Packet, b []byte, justReceived bool) (steerer.Decision, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	decision := l.steerer.Decide(now, p)
+	if !justReceived {
+		return decision, l.configVersion
+	}
+	if l.steerer.TakeFreed() && len(l.queue.packets) > 0 {
+		l.queue.retryNow()
+		l.signalRetry()
+	}
+	if decision.Action == steerer.Hold {
+		if !l.queue.enqueue(now, p, decision.Route, b) {
+			decision.Action = steerer.Drop // the queue is full
+		}
+		l.signalRetry()
+	}
+	return decision, l.configVersion
+}
+
 // apply forwards, refuses, holds or drops a packet as decided, and counts it.
 func (l *Listener) apply(b []byte, p steerer.Packet, decision steerer.Decision) {
 	headroom := l.codec.Headroom()
