--- /dev/null
+++ b/steerer/flow_table.go
@@ -0,0 +1,170 @@
+package steerer
+
+import (
+	"time"
+
+	"almondpick/limiter"
+)
+
+// Timeouts of the flow table.
+const (
+	synRetransmitWindow = 5 * time.Second // SYN retransmissions arrive within it
+	expiryInterval      = 100 * time.Millisecond
+	// handshakeLoadTimeout is how long a flow that is not yet established counts as load
+	// of its target. After it the caller may have given up, or the target may not
+	// accept the flow.
+	handshakeLoadTimeout = 100 * time.Millisecond
+)
+
+// flowState tracks a flow for which this instance selected the target, or on which a request
+// came through this instance.
+type flowState struct {
+	targetState   *targetState
+	route         *Route
+	limiter       *limiter.Limiter // of the target's pool
+	steerer       *Steerer
+	placedAt      time.Duration // when the target was selected
+	countsAsLoad  bool          // included in the active flows of its target
+	inProgress    bool          // included in the requests in progress of its pool
+	loadExpiresAt time.Duration // countsAsLoad is cleared at this time
+	// progressExpiresAt is when inProgress is cleared.
+	progressExpiresAt time.Duration
+	lastPacketAt      time.Duration // when the caller last sent a packet
+	lastAck           uint32        // last acknowledgement number of the caller
+	initialAck        uint32        // acknowledgement number before the first response
+	requestAt         time.Duration // when the caller began to send the last request
+	responsePending   bool          // the response to the last request has not begun
+	established       bool          // the target has accepted the flow
+	adopted           bool          // the target was selected by another instance, or before this one started
+	closed            bool
+}
+
+// adoptFlow starts to track a flow whose target another instance selected, or this one before
+// it restarted. Its requests are load of the target like those of other flows.
+func (s *Steerer) adoptFlow(now time.Duration, p Packet, route *Route, target *Target) *flowState {
+	f := &flowState{
+		targetState: s.targetStates[target.Identity], route: route, limiter: s.limiterOf(target.Pool), steerer: s, placedAt: now, lastPacketAt: now,
+		established: true, lastAck: p.Ack, initialAck: p.Ack, adopted: true,
+	}
+	s.flows[p.Flow] = f
+	return f
+}
+
+// updateFlow updates the state of a flow. Responses do not pass through the instance, so the
+// caller's acknowledgement number shows that a response has begun.
+func (s *Steerer) updateFlow(now time.Duration, f *flowState, p Packet) {
+	f.lastPacketAt = now
+	if !f.established {
+		f.established = true
+		f.lastAck, f.initialAck = p.Ack, p.Ack
+		f.loadExpiresAt, f.progressExpiresAt = now+f.route.Timeout, now+f.route.progressTimeout()
+		f.setCountsAsLoad(true)
+		s.recordEstablished(now, f)
+	}
+	if f.responsePending && p.Ack != f.lastAck && f.requestAt > 0 {
+		s.recordLatency(now, f.targetState, now-f.requestAt)
+		f.limiter.Observe(now, now-f.requestAt, f.route.Objective)
+		f.responsePending = false
+		f.setCountsAsLoad(false)
+	}
+	switch {
+	case p.Flags&(FIN|RST) != 0 && !f.closed:
+		s.closeFlow(now, f, p)
+	case p.PayloadSize > 0 && !f.closed:
+		f.beginRequest(now, p.Ack)
+	case p.Ack != f.lastAck:
+		f.responsePending = false
+		f.lastAck = p.Ack
+	}
+}
+
+// beginRequest records a packet with a part of a request. Further packets of the same request
+// do not change the time at which it began.
+func (f *flowState) beginRequest(now time.Duration, ack uint32) {
+	if !f.responsePending || f.requestAt == 0 || f.lastAck != ack {
+		f.responsePending, f.requestAt = true, now
+	}
+	f.lastAck = ack
+	f.loadExpiresAt, f.progressExpiresAt = now+f.route.Timeout, now+f.route.progressTimeout()
+	f.setCountsAsLoad(true)
+}
+
+// closeFlow records that the caller has closed the flow.
+func (s *Steerer) closeFlow(now time.Duration, f *flowState, p Packet) {
+	f.closed = true
+	f.setCountsAsLoad(false)
+	if f.adopted {
+		return // its beginning is not known
+	}
+	s.recordResponseSize(now, f.targetState, p.Flow.Service, p.Ack-f.initialAck)
+	s.onFlowEnd(f.route, now-f.placedAt)
+}
+
+// setCountsAsLoad adds the flow to, or removes it from, the active flows of its target and the
+// requests in progress of its pool.
+func (f *flowState) setCountsAsLoad(counts bool) {
+	f.setInProgress(counts)
+	if counts == f.countsAsLoad {
+		return
+	}
+	f.countsAsLoad = counts
+	if counts {
+		f.targetState.activeFlows++
+	} else {
+		f.targetState.activeFlows--
+	}
+}
+
+// setInProgress adds the flow to, or removes it from, the requests in progress of its pool.
+func (f *flowState) setInProgress(inProgress bool) {
+	if inProgress == f.inProgress {
+		return
+	}
+	f.inProgress = inProgress
+	if inProgress {
+		f.limiter.Begin()
+		return
+	}
+	f.limiter.End()
+	f.steerer.freed = true
+}
+
+// TakeFreed reports whether a request has ended since the last call, so that a packet that is
+// held because its pool is busy may be forwarded now.
+func (s *Steerer) TakeFreed() bool {
+	freed := s.freed
+	s.freed = false
+	return freed
+}
+
+// presumedRefused reports whether the flow was not established in time and its caller
+// has not retransmitted the SYN.
+func (f *flowState) presumedRefused(now time.Duration) bool {
+	return f.countsAsLoad && !f.established && f.lastPacketAt == f.placedAt && now >= f.loadExpiresAt
+}
+
+// expireFlows removes old flows that no longer count as load. A flow stops counting as load
+// when its response has not begun in time: the response may have reached its caller through
+// another instance, or the target is gone.
+func (s *Steerer) expireFlows(now time.Duration) {
+	s.nextExpiry = now + expiryInterval
+	for flow, f := range s.flows {
+		if s.view.Synced && f.presumedRefused(now) {
+			s.recordRefusal(now, f.targetState)
+		}
+		if now >= f.progressExpiresAt {
+			f.setInProgress(false)
+		}
+		if now >= f.loadExpiresAt {
+			f.setCountsAsLoad(false)
+		}
+		awaitsResponse := f.established && f.responsePending && f.requestAt > 0
+		if awaitsResponse && now >= f.requestAt+f.route.Timeout {
+			s.recordLatency(now, f.targetState, now-f.requestAt) // no response at all
+			f.responsePending, awaitsResponse = false, false
+		}
+		if !f.countsAsLoad && !awaitsResponse && now-f.lastPacketAt >= synRetransmitWindow {
+			delete(s.flows, flow)
+		}
+	}
+}
