controller: the fleet size is read only when the target cache may be saved

Found in reading the change: instances without a disk, and those between two saves, decoded the record at every period. No behaviour changes.

--- a/controller/target_cache.go
+++ b/controller/target_cache.go
@@ -23,9 +23,9 @@
 	cacheMaxAge = announcer.UnreachableRetention
 )
 
-// targetCache keeps the records of targets, and that of the fleet size, on the disk. The records are soft state, because
-// targets announce themselves again within seconds. With the cache, callers need not wait for
-// those announcements when the whole deployment has restarted.
+// targetCache keeps the records of targets, and that of the fleet size, on the disk. The records
+// are soft state, because targets announce themselves again within seconds. With the cache,
+// callers need not wait for those announcements when the whole deployment has restarted.
 //
 // The disk alone does not tell which targets have left since the cache was written. Its
 // records are therefore applied only after a majority of the voters has reported which
@@ -156,10 +156,10 @@
 // saveTargetCache writes the records of targets to the disk if they have changed. The write
 // runs outside of the control loop, so that the log does not wait for it.
 func (c *Controller) saveTargetCache(now time.Duration) {
-	revision, fleet := c.registry.Revision(), c.recordedFleetSize()
 	if c.journal == nil || c.targetCache.saving || now < c.targetCache.nextSave {
 		return
 	}
+	revision, fleet := c.registry.Revision(), c.recordedFleetSize()
 	if revision == c.targetCache.savedRevision && fleet == c.targetCache.savedFleetSize {
 		return
 	}
