controller, server: logs that tell why an instance is behind the newest configuration

The calls of the transport go through one function, which notes the answers; TakeTickets closes its connection after a timeout like all others. No decision has changed.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -134,7 +134,8 @@
 	compressedRecords compressedRecords
 	targetCache       targetCache
 	departures        departureQueue
-	fetchingConfig    bool // a fetch of the configuration is in progress
+	fetchingConfig    bool          // a fetch of the configuration is in progress
+	behindSince       time.Duration // when a newer configuration than this instance's became known; 0 for none
 	ready             bool
 	configConfirmed   bool // see ClusterState
 	leaving           bool
--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"almondpick/gossiper"
 	"almondpick/messenger"
 )
 
@@ -17,6 +19,10 @@
 	if !ok || best.ConfigVersion <= c.stateMachine.Config().Version {
 		return
 	}
+	startedAt := c.now()
+	if c.behindSince == 0 {
+		c.behindSince = startedAt
+	}
 	c.fetchingConfig = true
 	after := c.stateMachine.AppliedIndex()
 	c.runInBackground(peerCallTimeout, func(ctx context.Context) func() {
@@ -24,15 +30,35 @@
 		return func() {
 			c.fetchingConfig = false
 			if err != nil {
-				c.log.Warn("fetch-failed", "from", best.Name, "error", err)
+				c.log.Warn("fetch-failed", "from", best.Name, "wanted", best.ConfigVersion, "took", c.now()-startedAt, "behind-for", c.behindFor(), "error", err)
 				return
 			}
 			c.applyFetchReply(best.Name, reply)
+			c.logFetch(best, startedAt)
 			c.advanceCatchUp(c.now())
 		}
 	})
 }
 
+// behindFor returns for how long this instance has known of a newer configuration than its own.
+func (c *Controller) behindFor() time.Duration {
+	if c.behindSince == 0 {
+		return 0
+	}
+	return c.now() - c.behindSince
+}
+
+// logFetch logs what a fetch has brought from a member.
+func (c *Controller) logFetch(from gossiper.Member, startedAt time.Duration) {
+	have := c.stateMachine.Config().Version
+	if have < from.ConfigVersion {
+		c.log.Warn("fetch-brought-older", "from", from.Name, "wanted", from.ConfigVersion, "version", have, "took", c.now()-startedAt, "behind-for", c.behindFor())
+		return
+	}
+	c.log.Info("fetched", "from", from.Name, "version", have, "took", c.now()-startedAt, "behind-for", c.behindFor())
+	c.behindSince = 0
+}
+
 // applyFetchReply applies the snapshot or the commands that another instance sent.
 func (c *Controller) applyFetchReply(from string, reply *messenger.FetchReply) {
 	if len(reply.Snapshot) > 0 {
--- a/server/server.go
+++ b/server/server.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{settings: settings, clock: clock, log: log, meter: meter.New(), transport: newTransport(tlsConfig, log)}
+	s := &Server{settings: settings, clock: clock, log: log, meter: meter.New(), transport: newTransport(tlsConfig, clock, log)}
 	if err := s.start(l, keys, issuer.NewSigner(groupKey), tlsConfig); err != nil {
 		l.close()
 		return nil, err
--- a/server/transport.go
+++ b/server/transport.go
@@ -32,10 +32,18 @@
 	Datagram(to string, b []byte)
 }
 
+// peerConn is the connection to one peer.
+type peerConn struct {
+	*grpc.ClientConn
+	openedAt   time.Time
+	answeredAt time.Time // when the last call on it was answered; openedAt before that
+}
+
 // transport carries the controller's messages and calls to other instances. It implements
 // controller.Transport and keeps one gRPC connection for each peer.
 type transport struct {
 	log       *slog.Logger
+	clock     Clock
 	creds     credentials.TransportCredentials
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -43,12 +51,12 @@
 
 	mu         sync.Mutex
 	sender     sender
-	conns      map[string]*grpc.ClientConn
+	conns      map[string]*peerConn
 	sendQueues map[string]chan voter.Message
 	closed     bool
 }
 
-func newTransport(tlsConfig *tls.Config, log *slog.Logger) *transport {
+func newTransport(tlsConfig *tls.Config, clock Clock, log *slog.Logger) *transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	creds := insecure.NewCredentials()
 	if tlsConfig != nil {
@@ -57,8 +65,8 @@
 		creds = credentials.NewTLS(clientConfig)
 	}
 	return &transport{
-		log: log, creds: creds, ctx: ctx, cancel: cancel,
-		conns: make(map[string]*grpc.ClientConn), sendQueues: make(map[string]chan voter.Message),
+		log: log, clock: clock, creds: creds, ctx: ctx, cancel: cancel,
+		conns: make(map[string]*peerConn), sendQueues: make(map[string]chan voter.Message),
 	}
 }
 
@@ -79,21 +87,38 @@
 	}
 }
 
-func (t *transport) peerClient(to string) (messenger.PeerClient, error) {
+// peerConn returns the connection to a peer, which it opens if there is none.
+func (t *transport) peerConn(to string) (*peerConn, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	conn := t.conns[to]
-	if conn == nil {
-		var err error
-		conn, err = grpc.NewClient(to, grpc.WithTransportCredentials(t.creds),
-			grpc.WithReadBufferSize(connBufferSize), grpc.WithWriteBufferSize(connBufferSize),
-			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second, Backoff: dialBackoff}))
-		if err != nil {
-			return messenger.PeerClient{}, err
-		}
-		t.conns[to] = conn
+	if conn := t.conns[to]; conn != nil {
+		return conn, nil
+	}
+	grpcConn, err := grpc.NewClient(to, grpc.WithTransportCredentials(t.creds),
+		grpc.WithReadBufferSize(connBufferSize), grpc.WithWriteBufferSize(connBufferSize),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second, Backoff: dialBackoff}))
+	if err != nil {
+		return nil, err
 	}
-	return messenger.PeerClient{Conn: conn}, nil
+	now := t.clock.Now()
+	conn := &peerConn{ClientConn: grpcConn, openedAt: now, answeredAt: now}
+	t.conns[to] = conn
+	return conn, nil
+}
+
+// call calls a method of a peer. It closes the connection if the call times out.
+func call[Reply any](t *transport, to string, method func(c messenger.PeerClient) (*Reply, error)) (*Reply, error) {
+	conn, err := t.peerConn(to)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := method(messenger.PeerClient{Conn: conn})
+	if err == nil {
+		t.mu.Lock()
+		conn.answeredAt = t.clock.Now()
+		t.mu.Unlock()
+	}
+	return reply, t.closeOnTimeout(to, err)
 }
 
 // Exchange implements controller.Transport. Messages to one receiver keep their order. When
@@ -139,54 +164,43 @@
 }
 
 func (t *transport) sendBatch(to string, batch *messenger.VoterBatch) error {
-	client, err := t.peerClient(to)
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(t.ctx, exchangeTimeout)
 	defer cancel()
-	_, err = client.Exchange(ctx, batch)
-	return t.closeOnTimeout(to, err)
+	_, err := call(t, to, func(c messenger.PeerClient) (*messenger.Empty, error) { return c.Exchange(ctx, batch) })
+	return err
 }
 
 // Fetch implements controller.Transport.
 func (t *transport) Fetch(ctx context.Context, to string, after uint64) (*messenger.FetchReply, error) {
-	client, err := t.peerClient(to)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := client.Fetch(ctx, &messenger.FetchRequest{AfterIndex: after})
-	return reply, t.closeOnTimeout(to, err)
+	return call(t, to, func(c messenger.PeerClient) (*messenger.FetchReply, error) {
+		return c.Fetch(ctx, &messenger.FetchRequest{AfterIndex: after})
+	})
 }
 
 // Propose implements controller.Transport.
-func (t *transport) Propose(ctx context.Context, to string, c planner.Command) (*planner.Result, error) {
-	client, err := t.peerClient(to)
-	if err != nil {
-		return nil, err
-	}
-	result, err := client.Propose(ctx, &c)
-	return result, t.closeOnTimeout(to, err)
+func (t *transport) Propose(ctx context.Context, to string, cmd planner.Command) (*planner.Result, error) {
+	return call(t, to, func(c messenger.PeerClient) (*planner.Result, error) { return c.Propose(ctx, &cmd) })
+}
+
+// Read implements controller.Transport.
+func (t *transport) Read(ctx context.Context, to string) (*messenger.ReadReply, error) {
+	return call(t, to, func(c messenger.PeerClient) (*messenger.ReadReply, error) { return c.Read(ctx) })
 }
 
 // Records implements controller.Transport.
 func (t *transport) Records(ctx context.Context, to string) (*messenger.RecordsReply, error) {
-	client, err := t.peerClient(to)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := client.Records(ctx)
-	return reply, t.closeOnTimeout(to, err)
+	return call(t, to, func(c messenger.PeerClient) (*messenger.RecordsReply, error) { return c.Records(ctx) })
 }
 
 // Departures implements controller.Transport.
 func (t *transport) Departures(ctx context.Context, to string) (*messenger.DeparturesReply, error) {
-	client, err := t.peerClient(to)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := client.Departures(ctx)
-	return reply, t.closeOnTimeout(to, err)
+	return call(t, to, func(c messenger.PeerClient) (*messenger.DeparturesReply, error) { return c.Departures(ctx) })
+}
+
+// TakeTickets sends a part of the idempotency-key tables to another instance.
+func (t *transport) TakeTickets(ctx context.Context, to string, h *messenger.KeyTableHandover) error {
+	_, err := call(t, to, func(c messenger.PeerClient) (*messenger.Empty, error) { return c.TakeTickets(ctx, h) })
+	return err
 }
 
 // closeOnTimeout closes the connection to a peer if err says that a call timed out. Such a
@@ -203,30 +217,13 @@
 	if conn == nil {
 		return err
 	}
-	t.log.Warn("connection-closed-after-timeout", "to", to, "error", err)
+	t.mu.Lock()
+	age, unanswered := t.clock.Now().Sub(conn.openedAt), t.clock.Now().Sub(conn.answeredAt)
+	t.mu.Unlock()
+	t.log.Warn("connection-closed-after-timeout", "to", to, "age", age, "unanswered-for", unanswered, "error", err)
 	return errors.Join(err, conn.Close())
 }
 
-// Read implements controller.Transport.
-func (t *transport) Read(ctx context.Context, to string) (*messenger.ReadReply, error) {
-	client, err := t.peerClient(to)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := client.Read(ctx)
-	return reply, t.closeOnTimeout(to, err)
-}
-
-// TakeTickets sends a part of the idempotency-key tables to another instance.
-func (t *transport) TakeTickets(ctx context.Context, to string, h *messenger.KeyTableHandover) error {
-	client, err := t.peerClient(to)
-	if err != nil {
-		return err
-	}
-	_, err = client.TakeTickets(ctx, h)
-	return err
-}
-
 // Close stops the send loops, waits for them and closes the connections.
 func (t *transport) Close() error {
 	t.mu.Lock()
