server: a connection to another instance that fell silent is not used

Cause: calls to other instances share one connection for each peer, kept open between calls. Where it has gone silent, which nothing shows while it is idle, the next call on it, often the one that has to fetch a change, waits until its own deadline, and so do all that follow it on that connection.

Connections without calls are now closed after a second, so a call finds one that carried a reply a moment ago or opens a new one; one on which a call has had no answer for a second is replaced for later calls, while those in progress may still end. A timeout no longer closes the connection under the other calls on it. Servers close accepted connections that had no calls for five seconds: the other end's close does not arrive on a silent one.

Evidence: four of the five new tests failed before (TestIdleConnectionThatFellSilentIsNotUsed: deadline exceeded; TestCallOnSilentConnectionDoesNotHoldOthers: deadline exceeded; TestSilentConnectionDelaysVoterMessagesForLessThanTwoElectionTimeouts: no message within 1.6 s; TestAcceptedConnectionThatFellSilentIsClosed: open after 20 s); all pass with the race detector. TestTimeoutClosesOnlyTheConnectionOfItsCall passed before as well: it guards the replacement.

--- a/server/node.go
+++ b/server/node.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		return eris.Wrap(err, "open peer TCP listener")
 	}
-	n.peerServer = grpc.NewServer(grpc.ReadBufferSize(connBufferSize), grpc.WriteBufferSize(connBufferSize))
+	n.peerServer = grpc.NewServer(grpc.ReadBufferSize(connBufferSize), grpc.WriteBufferSize(connBufferSize), closeIdleConns())
 	messenger.RegisterPeer(n.peerServer, &peerService{controller: n.controller})
 	n.runServer(func() error { return n.peerServer.Serve(l) })
 	endpoints := []struct {
--- a/server/peer.go
+++ b/server/peer.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
@@ -27,6 +28,15 @@
 	MaxDelay:   time.Second,
 }
 
+// acceptedConnIdleTimeout is longer than connIdleTimeout, after which the other end closes a
+// connection. It ends the connections on which that close does not arrive.
+const acceptedConnIdleTimeout = 5 * time.Second
+
+// closeIdleConns makes a gRPC server close connections without calls.
+func closeIdleConns() grpc.ServerOption {
+	return grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: acceptedConnIdleTimeout})
+}
+
 // peerService serves the gRPC calls of other instances. It implements messenger.PeerServer.
 type peerService struct {
 	controller controllerPtr
--- a/server/server.go
+++ b/server/server.go
@@ -203,10 +203,11 @@
 }
 
 func newGRPCServer(tlsConfig *tls.Config, roles ...keyer.Role) *grpc.Server {
-	if tlsConfig == nil {
-		return grpc.NewServer()
+	options := []grpc.ServerOption{closeIdleConns()}
+	if tlsConfig != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(tlsConfig)), grpc.UnaryInterceptor(requireRole(roles...)))
 	}
-	return grpc.NewServer(grpc.Creds(credentials.NewTLS(tlsConfig)), grpc.UnaryInterceptor(requireRole(roles...)))
+	return grpc.NewServer(options...)
 }
 
 // deferredController passes gossip to a controller that is set after the forwarder, which
--- a/server/transport.go
+++ b/server/transport.go
@@ -5,14 +5,12 @@
 	"crypto/tls"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/status"
 
 	"almondpick/messenger"
 	"almondpick/planner"
@@ -20,11 +18,10 @@
 )
 
 const (
-	exchangeTimeout = 2 * time.Second
-	sendQueueSize   = 256 // messages waiting for one voter
-	maxBatchSize    = 64  // messages in one Exchange call
-	// connBufferSize is small, because calls are few and connections may be many.
-	connBufferSize = 4 << 10 // bytes
+	exchangeTimeout         = time.Second
+	snapshotExchangeTimeout = 2 * time.Second // of an Exchange call that carries a snapshot
+	sendQueueSize           = 256             // messages waiting for one voter
+	maxBatchSize            = 64              // messages in one Exchange call
 )
 
 // sender sends datagrams to other instances.
@@ -32,15 +29,8 @@
 	Datagram(to string, b []byte)
 }
 
-// peerConn is the connection to one peer.
-type peerConn struct {
-	*grpc.ClientConn
-	openedAt   time.Time
-	answeredAt time.Time // when the last call on it was answered; openedAt before that
-}
-
 // transport carries the controller's messages and calls to other instances. It implements
-// controller.Transport and keeps one gRPC connection for each peer.
+// controller.Transport and keeps one gRPC connection for each peer that it calls.
 type transport struct {
 	log       *slog.Logger
 	clock     Clock
@@ -51,7 +41,8 @@
 
 	mu         sync.Mutex
 	sender     sender
-	conns      map[string]*peerConn
+	conns      map[string]*peerConn // for new calls, by the address of the peer
+	openConns  map[*peerConn]bool   // those of conns, and replaced ones with calls in progress
 	sendQueues map[string]chan voter.Message
 	closed     bool
 }
@@ -66,7 +57,7 @@
 	}
 	return &transport{
 		log: log, clock: clock, creds: creds, ctx: ctx, cancel: cancel,
-		conns: make(map[string]*peerConn), sendQueues: make(map[string]chan voter.Message),
+		conns: make(map[string]*peerConn), openConns: make(map[*peerConn]bool), sendQueues: make(map[string]chan voter.Message),
 	}
 }
 
@@ -87,40 +78,6 @@
 	}
 }
 
-// peerConn returns the connection to a peer, which it opens if there is none.
-func (t *transport) peerConn(to string) (*peerConn, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if conn := t.conns[to]; conn != nil {
-		return conn, nil
-	}
-	grpcConn, err := grpc.NewClient(to, grpc.WithTransportCredentials(t.creds),
-		grpc.WithReadBufferSize(connBufferSize), grpc.WithWriteBufferSize(connBufferSize),
-		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second, Backoff: dialBackoff}))
-	if err != nil {
-		return nil, err
-	}
-	now := t.clock.Now()
-	conn := &peerConn{ClientConn: grpcConn, openedAt: now, answeredAt: now}
-	t.conns[to] = conn
-	return conn, nil
-}
-
-// call calls a method of a peer. It closes the connection if the call times out.
-func call[Reply any](t *transport, to string, method func(c messenger.PeerClient) (*Reply, error)) (*Reply, error) {
-	conn, err := t.peerConn(to)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := method(messenger.PeerClient{Conn: conn})
-	if err == nil {
-		t.mu.Lock()
-		conn.answeredAt = t.clock.Now()
-		t.mu.Unlock()
-	}
-	return reply, t.closeOnTimeout(to, err)
-}
-
 // Exchange implements controller.Transport. Messages to one receiver keep their order. When
 // sendQueueSize messages wait, new ones are dropped, which voters tolerate.
 func (t *transport) Exchange(to string, m voter.Message) {
@@ -164,7 +121,11 @@
 }
 
 func (t *transport) sendBatch(to string, batch *messenger.VoterBatch) error {
-	ctx, cancel := context.WithTimeout(t.ctx, exchangeTimeout)
+	timeout := exchangeTimeout
+	if slices.ContainsFunc(batch.Messages, func(m voter.Message) bool { return m.Kind == voter.MessageSnapshot }) {
+		timeout = snapshotExchangeTimeout
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, timeout)
 	defer cancel()
 	_, err := call(t, to, func(c messenger.PeerClient) (*messenger.Empty, error) { return c.Exchange(ctx, batch) })
 	return err
@@ -203,27 +164,6 @@
 	return err
 }
 
-// closeOnTimeout closes the connection to a peer if err says that a call timed out. Such a
-// connection may be dead, which is otherwise not detected for a long time. The next call
-// opens a new connection. closeOnTimeout returns err, joined with an error of the close.
-func (t *transport) closeOnTimeout(to string, err error) error {
-	if status.Code(err) != codes.DeadlineExceeded {
-		return err
-	}
-	t.mu.Lock()
-	conn := t.conns[to]
-	delete(t.conns, to)
-	t.mu.Unlock()
-	if conn == nil {
-		return err
-	}
-	t.mu.Lock()
-	age, unanswered := t.clock.Now().Sub(conn.openedAt), t.clock.Now().Sub(conn.answeredAt)
-	t.mu.Unlock()
-	t.log.Warn("connection-closed-after-timeout", "to", to, "age", age, "unanswered-for", unanswered, "error", err)
-	return errors.Join(err, conn.Close())
-}
-
 // Close stops the send loops, waits for them and closes the connections.
 func (t *transport) Close() error {
 	t.mu.Lock()
@@ -234,8 +174,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var errs []error
-	for _, c := range t.conns {
-		errs = append(errs, c.Close())
+	for conn := range t.openConns {
+		errs = append(errs, conn.Close())
 	}
 	return errors.Join(errs...)
 }
