gossiper: a newer configuration is looked for where it is

An instance that is behind asks the member that was heard of with the newest version.

A new incarnation starts with the version that it tells. When the newest member is dead, the newest of the live ones takes its place. NewestConfigMembers returns all that have the newest version, nearest first, for the fetch that follows.

Both tests failed before: TestRestartedMemberIsNotTakenToHoldItsEarlierVersion (one candidate, none expected) and TestVersionIsFetchedFromAnotherMemberWhenOneDies (none, one expected).

--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -15,10 +15,11 @@
 	if c.fetchingConfig || c.isLogMember() {
 		return
 	}
-	best, ok := c.gossip.NewestConfigMember()
-	if !ok || best.ConfigVersion <= c.stateMachine.Config().Version {
+	newest := c.gossip.NewestConfigMembers()
+	if len(newest) == 0 || newest[0].ConfigVersion <= c.stateMachine.Config().Version {
 		return
 	}
+	best := newest[0]
 	startedAt := c.now()
 	if c.behindSince == 0 {
 		c.behindSince = startedAt
--- a/gossiper/config_version.go
+++ b/gossiper/config_version.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -22,29 +23,49 @@
 	g.revision++
 }
 
-// NewestConfigMember returns a live member with the highest known configuration version, if
-// that is above this instance's own. It prefers members of its own data centre and chooses at
-// random, so that instances that catch up at the same time do not all ask the same one.
-func (g *Gossiper) NewestConfigMember() (Member, bool) {
-	newest, ok := g.members[g.newestVersionMember]
-	if !ok || !newest.Alive() || newest.ConfigVersion <= g.self.ConfigVersion {
-		return Member{}, false
+// NewestConfigMembers returns the live members with the highest known configuration version, if
+// that is above this instance's own, in the order in which to ask them for it: members of its own
+// data centre first. The order among these is random, so that instances that catch up at the same
+// time do not all ask the same one.
+func (g *Gossiper) NewestConfigMembers() []Member {
+	newest := g.newestVersion()
+	if newest <= g.self.ConfigVersion {
+		return nil
 	}
-	var candidates, otherDataCentres []string
-	for name, m := range g.members {
-		switch {
-		case !m.Alive() || m.ConfigVersion != newest.ConfigVersion:
-		case m.DataCentre == g.self.DataCentre:
-			candidates = append(candidates, name)
-		default:
-			otherDataCentres = append(otherDataCentres, name)
+	var members []Member
+	for _, m := range g.members {
+		if m.Alive() && m.ConfigVersion == newest {
+			members = append(members, *m)
 		}
 	}
-	if len(candidates) == 0 {
-		candidates = otherDataCentres
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	g.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	slices.SortStableFunc(members, func(a, b Member) int {
+		return g.distance(a) - g.distance(b)
+	})
+	return members
+}
+
+// distance returns 0 for a member of this instance's data centre, and 1 for any other.
+func (g *Gossiper) distance(m Member) int {
+	if m.DataCentre == g.self.DataCentre {
+		return 0
+	}
+	return 1
+}
+
+// newestVersion returns the highest configuration version of the live members, or 0.
+func (g *Gossiper) newestVersion() uint64 {
+	if newest, ok := g.members[g.newestVersionMember]; ok && newest.Alive() {
+		return newest.ConfigVersion
+	}
+	var version uint64
+	for _, m := range g.members {
+		if m.Alive() && m.ConfigVersion >= version {
+			g.newestVersionMember, version = m.Name, m.ConfigVersion
+		}
 	}
-	slices.Sort(candidates)
-	return *g.members[candidates[g.random.IntN(len(candidates))]], true
+	return version
 }
 
 // reportVersion sends the configuration version of this instance to the subscribers: at once
@@ -80,8 +101,7 @@
 		m.ConfigVersion = version
 		g.revision++
 	}
-	newest, ok := g.members[g.newestVersionMember]
-	if !ok || !newest.Alive() || m.ConfigVersion > newest.ConfigVersion {
+	if m.Alive() && m.ConfigVersion > g.newestVersion() {
 		g.newestVersionMember = m.Name
 	}
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -87,7 +87,7 @@
 	versionSubscribers     []string // names of the members that every version report is sent to
 	versionChanged         bool     // random members have not been sent the new version yet
 	versionReportsToRepeat int      // reports still to be repeated after versionReportRepeatDelay
-	newestVersionMember    string   // name of a member with the highest version, which may have died since; "" for none
+	newestVersionMember    string   // name of a member with the highest version, which may have died since; "" if unknown
 	probeOrder             []string // names still to be probed in this round
 	pendingProbes          []probe
 	indirectProbes         []indirectProbe
@@ -472,7 +472,11 @@
 	if r.Liveness != LivenessDead {
 		g.aliveMembers++
 	}
-	body.ConfigVersion = max(body.ConfigVersion, m.ConfigVersion)
+	if r.Incarnation == m.Incarnation {
+		body.ConfigVersion = max(body.ConfigVersion, m.ConfigVersion)
+	} else if g.newestVersionMember == body.Name {
+		g.newestVersionMember = "" // a new process need not hold the version of the earlier one
+	}
 	if !ok || m.Liveness != r.Liveness || m.Incarnation != r.Incarnation {
 		m.LivenessSince = now
 	}
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -154,15 +154,45 @@
 	w.run(5 * time.Second)
 	w.gossipers[address(0)].SetConfigVersion(9, []string{"i5"})
 	w.run(time.Second)
-	newest, ok := w.gossipers[address(5)].NewestConfigMember()
-	is.True(ok)
-	is.Equal(newest.ConfigVersion, uint64(9))
+	newest := w.gossipers[address(5)].NewestConfigMembers()
+	is.Equal(len(newest), 1)
+	is.Equal(newest[0].ConfigVersion, uint64(9))
 	stale := w.gossipers[address(5)]
 	stale.Handle(w.now, address(0), Message{Kind: KindConfigVersion, From: "i0", ConfigVersion: 3})
 	m, _ := stale.Member("i0")
 	is.Equal(m.ConfigVersion, uint64(9))
 }
 
+func TestRestartedMemberIsNotTakenToHoldItsEarlierVersion(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(7)
+	w.run(5 * time.Second)
+	w.gossipers[address(0)].SetConfigVersion(9, []string{"i5"})
+	w.run(time.Second)
+	is.Equal(len(w.gossipers[address(5)].NewestConfigMembers()), 1)
+	self := w.gossipers[address(0)].Self()
+	self.ConfigVersion = 0
+	w.gossipers[address(0)] = New(self, w.gossipers[address(0)].Incarnation()+1, WithSeeds(address(1)))
+	w.run(3 * time.Second)
+	is.Equal(len(w.gossipers[address(5)].NewestConfigMembers()), 0)
+}
+
+func TestVersionIsFetchedFromAnotherMemberWhenOneDies(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(7)
+	w.run(5 * time.Second)
+	g := w.gossipers[address(5)]
+	for _, name := range []string{"i0", "i1"} {
+		g.Handle(w.now, "", Message{Kind: KindConfigVersion, From: name, ConfigVersion: 9})
+	}
+	record, _ := g.Record(InstanceKeyPrefix + "i0")
+	record.Liveness = LivenessDead
+	g.Handle(w.now, "", Message{Kind: KindRecords, From: "i2", Records: []Record{record}})
+	newest := g.NewestConfigMembers()
+	is.Equal(len(newest), 1)
+	is.Equal(newest[0].Name, "i1")
+}
+
 func FuzzMessage(f *testing.F) {
 	w := newNetwork(2)
 	w.run(time.Second)
--- a/measurer/gossip_sim.go
+++ b/measurer/gossip_sim.go
@@ -123,14 +123,14 @@
 func (s *gossipSim) fetchNewerConfig(node *gossipNode) {
 	if node.fetchEndsAt != 0 && s.now >= node.fetchEndsAt {
 		node.fetchEndsAt = 0
-		if m, ok := node.gossiper.NewestConfigMember(); ok {
-			s.setConfigVersion(node, m.ConfigVersion)
+		if members := node.gossiper.NewestConfigMembers(); len(members) > 0 {
+			s.setConfigVersion(node, members[0].ConfigVersion)
 		}
 	}
 	if s.now%configCheckInterval != 0 || node.fetchEndsAt != 0 {
 		return
 	}
-	if _, ok := node.gossiper.NewestConfigMember(); ok {
+	if len(node.gossiper.NewestConfigMembers()) > 0 {
 		node.fetchEndsAt = s.now + gossipTickInterval
 		s.sentBytes += configFetchBytes
 	}
