controller: a change is fetched from another member while one does not answer

Cause: an instance that was behind asked one member at a time and gave each two seconds, of the three that a change has. Two members that did not answer, because their connections had gone silent or they stood still, were enough.

Now another member is asked after half a second, a third a second later, each member once before one is asked again; the first reply that brings what is wanted ends the other calls. The pause doubles with the calls in progress, since a link that is only slow carries all the replies. A reply that comes after a newer one, or once the instance has become a member of the log, is ignored.

Evidence: with the first two calls unanswered the change was in force after 4 s and more (TestConfigurationIsInForceInTimeThoughTwoMembersDoNotAnswer failed before: 3 s exceeded), now within 3 s. TestLateReplyDoesNotRevertTheConfiguration passed before too: it guards the calls that now run side by side.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -134,8 +134,7 @@
 	compressedRecords compressedRecords
 	targetCache       targetCache
 	departures        departureQueue
-	fetchingConfig    bool          // a fetch of the configuration is in progress
-	behindSince       time.Duration // when a newer configuration than this instance's became known; 0 for none
+	fetch             configFetch
 	ready             bool
 	configConfirmed   bool // see ClusterState
 	leaving           bool
@@ -310,10 +309,15 @@
 // runInBackground runs call in a new goroutine, with a context that ends after timeout. The
 // function that call returns is then run in the control loop.
 func (c *Controller) runInBackground(timeout time.Duration, call func(ctx context.Context) (finish func())) {
+	c.runInBackgroundUntil(c.ctx, timeout, call)
+}
+
+// runInBackgroundUntil is runInBackground with a context that also ends with parent.
+func (c *Controller) runInBackgroundUntil(parent context.Context, timeout time.Duration, call func(ctx context.Context) (finish func())) {
 	c.goroutines.Add(1)
 	go func() {
 		defer c.goroutines.Done()
-		ctx, cancel := context.WithTimeout(c.ctx, timeout)
+		ctx, cancel := context.WithTimeout(parent, timeout)
 		defer cancel()
 		c.runInLoop(c.ctx, call(ctx))
 	}()
