--- a/controller/replicated_log.go
+++ b/controller/replicated_log.go
@@ -135,12 +135,9 @@
 	w.result <- result
 }
 
-// applyCommand applies the next command and keeps it for instances that catch up. A command
-// that was applied before changes nothing.
+// applyCommand applies the next command and keeps it for instances that catch up. Of a command
+// that was applied before, only departures take effect.
 func (c *Controller) applyCommand(a messenger.AppliedCommand) planner.Result {
-	if a.Index <= c.stateMachine.AppliedIndex() {
-		return planner.Result{}
-	}
 	cmd, err := messenger.DecodeCommand(a.Data)
 	if err != nil {
 		c.log.Error("command-decode-failed", "index", a.Index, "error", err)
@@ -148,9 +145,12 @@
 		return planner.Result{}
 	}
 	before := c.stateMachine.Config().Version
+	appliedBefore := a.Index <= c.stateMachine.AppliedIndex()
 	result := c.stateMachine.Apply(a.Index, cmd)
-	c.retainCommand(a, cmd)
-	c.logConfigChange(before)
+	if !appliedBefore {
+		c.retainCommand(a, cmd)
+		c.logConfigChange(before)
+	}
 	if cmd.RecordDepartures != nil {
 		c.applyDepartures(cmd.RecordDepartures.Departures)
 	}
--- a/planner/machine.go
+++ b/planner/machine.go
@@ -149,10 +149,13 @@
 	return out
 }
 
-// Apply applies the command at a log index. An index that was applied before changes
-// nothing.
+// Apply applies the command at a log index. An index that was applied before changes nothing but
+// the departures: a state restored from a SnapshotWithoutDepartures lacks those before its index.
 func (m *StateMachine) Apply(index uint64, c Command) Result {
 	if index <= m.appliedIndex {
+		if c.RecordDepartures != nil {
+			m.departures.add(c.RecordDepartures.Departures)
+		}
 		return Result{}
 	}
 	m.appliedIndex = index
@@ -378,21 +381,20 @@
 	return cbor.Marshal(m.encodedState())
 }
 
-// Restore replaces the state with a snapshot. A snapshot that is not newer than the state is
-// ignored, so that the applied index never decreases. Restore returns the error of the
-// decoder.
+// Restore replaces the state with a snapshot, and adds the departures of the snapshot. Of a
+// snapshot that is not newer than the state only the departures are used, so that the applied
+// index never decreases. Restore returns the error of the decoder.
 func (m *StateMachine) Restore(data []byte) error {
 	var state encodedState
 	if err := cbor.Unmarshal(data, &state); err != nil {
 		return err
 	}
+	m.departures.add(state.Departures)
 	if state.AppliedIndex <= m.appliedIndex {
 		return nil
 	}
 	m.config, m.appliedIndex, m.intentOrder = state.Config, state.AppliedIndex, state.IntentOrder
 	m.lastNonDepartureIndex = state.AppliedIndex
-	m.departures = departures{}
-	m.departures.add(state.Departures)
 	m.intents = maps.Clone(state.Intents)
 	m.plans = maps.Clone(state.Plans)
 	if m.intents == nil {
