controller: a data folder that cannot be opened is opened once the disk works again

An operator of a similar system saw disks full for seconds, one after another, and changes refused long after. Here three ways led there. A new or wiped storage instance whose disk was full when it first opened its data folder never tried again and stayed without a voter until its next restart; two of those are a majority of three. At the first start of a deployment, an instance that had written its identity but not the state that the first voters start from went on without it: with full disks no ruleset was ever accepted. And an instance whose process started while its disk was full ended by itself.

openDataFolder now opens the folder whenever it is not open, every half second, at the first start, after a failed write, and after a start on a full disk. Other errors of the start, such as corruption, still end the process. The state of the first voters is written as long as the log has never been used.

Evidence: TestEmptyFolderThatFailsToOpenIsOpenedLater and TestFirstStartOnFullDisksSucceedsOnceThereIsRoom failed before (not within ten seconds); TestInstanceThatStartsOnAFullDiskJoinsOnceThereIsRoom failed before with the start refused: no space left on device (with the sync of the log already going through the test's disk). TestRulesetsAreAcceptedAfterDisksWereFullInTurn, the operator's case with voters that are running, passed before: that case does not happen here.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -110,8 +110,8 @@
 	journal          *journaler.Journal
 	voter            *voter.Voter
 	voterErr         error         // why the voter is stopped, or why the data folder could not be opened
-	dataFolderEmpty  bool          // the data folder has no identity and has not been opened yet
-	nextVoterRestart time.Duration // when opening the journal is retried after a failed write
+	dataFolderEmpty  bool          // the data folder had no identity at the start and has not been opened yet
+	nextFolderOpen   time.Duration // earliest next attempt to open the data folder after a failure
 	pendingProposals map[uint64]pendingProposal
 	pendingReads     map[uint64]chan messenger.ReadReply // by the read number of the voter
 	applyWaiters     []applyWaiter
@@ -200,7 +200,7 @@
 }
 
 // New starts the control loop of an instance. It returns the error of opening the data folder,
-// such as a *journaler.CorruptionError.
+// such as a *journaler.CorruptionError, unless the disk may work again later.
 func New(settings Settings, clock Clock, transport Transport, keys messenger.DerivedKeys, options ...Option) (*Controller, error) {
 	c := &Controller{
 		settings:         settings,
@@ -230,9 +230,11 @@
 		gossiper.WithRandom(newRandom(settings.Self.Name, c.startTime, gossipStream)))
 	c.dataFolderEmpty = settings.DataFolder != "" && journaler.IsEmptyFolder(settings.DataFolder)
 	if settings.DataFolder != "" && !c.dataFolderEmpty {
-		if err := c.openJournal(""); err != nil {
+		if err := c.openJournal(""); err != nil && !isDiskFault(err) {
 			c.cancel()
 			return nil, err
+		} else if err != nil {
+			c.retryDataFolder(err)
 		}
 		c.loadTargetCache()
 	}
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -236,34 +236,3 @@
 		c.log.Info("leader", "leader", leader, "term", c.voter.Term(), "commit", c.voter.CommitIndex())
 	}
 }
-
-// voterRestartInterval is the interval at which opening a data folder that refused a write is
-// retried.
-const voterRestartInterval = 500 * time.Millisecond
-
-// stopVoter stops the voter after a failed write: it must not send messages about entries that
-// may not be durable.
-func (c *Controller) stopVoter(err error) {
-	c.voterErr = err
-	c.nextVoterRestart = c.now() + voterRestartInterval
-	c.log.Error("voter-stopped", "error", err)
-	c.failPendingCalls()
-}
-
-// restartVoter starts the voter again from the disk contents, as a restart of the process
-// does.
-func (c *Controller) restartVoter(now time.Duration) {
-	if c.voterErr == nil || c.journal == nil || now < c.nextVoterRestart {
-		return
-	}
-	c.nextVoterRestart = now + voterRestartInterval
-	if err := c.journal.Close(); err != nil {
-		c.log.Warn("journal-close-failed", "error", err)
-	}
-	if err := c.openJournal(""); err != nil {
-		c.log.Warn("voter-restart-failed", "error", err)
-		return
-	}
-	c.voterErr = nil
-	c.log.Info("voter-restarted", "voter", c.voter.ID(), "commit", c.voter.CommitIndex())
-}
--- a/controller/replicated_log.go
+++ b/controller/replicated_log.go
@@ -4,63 +4,11 @@
 	"slices"
 	"strings"
 
-	"almondpick/gossiper"
-	"almondpick/journaler"
 	"almondpick/messenger"
 	"almondpick/planner"
 	"almondpick/voter"
 )
 
-// openJournal reads the data folder and starts the voter from its contents. A new data folder
-// gets the given identity, or a random one if identity is empty.
-func (c *Controller) openJournal(identity string) error {
-	began := c.now()
-	j, state, err := journaler.Open(c.settings.DataFolder, append(slices.Clone(c.journalOptions), journaler.WithIdentity(identity))...)
-	if err != nil {
-		return err
-	}
-	c.log.Info("data-folder-read", "identity", state.Identity, "log-bytes", j.LogSize(), "entries", len(state.Entries),
-		"snapshot", state.Snapshot.Index, "term", state.HardState.Term, "commit", state.HardState.Commit, "took", c.now()-began)
-	id := voter.ID(c.settings.Self.Name + "#" + state.Identity)
-	if state.Snapshot.Index > 0 {
-		if err := c.stateMachine.Restore(state.Snapshot.Data); err != nil {
-			return err
-		}
-	}
-	c.journal = j
-	if state.FolderWasEmpty && identity == bootstrapIdentity {
-		if err := c.bootstrapLog(&state); err != nil {
-			return err
-		}
-	}
-	c.voter = voter.New(id, c.now(), state.HardState, state.Snapshot, state.Entries,
-		voter.WithTiming(c.settings.HeartbeatInterval, c.settings.ElectionTimeout),
-		voter.WithRandom(newRandom(c.settings.Self.Name, c.startTime, electionStream)))
-	c.gossip.UpdateSelf(func(i gossiper.Instance) gossiper.Instance {
-		i.VoterID = string(id)
-		return i
-	})
-	c.processVoterOutput()
-	return nil
-}
-
-// bootstrapLog stores the state that the first voters of a deployment start from: at position
-// 1, the membership that the settings name.
-func (c *Controller) bootstrapLog(state *journaler.State) error {
-	var m voter.Membership
-	for _, name := range c.settings.InitialVoters {
-		m = m.WithVoter(voter.ID(name + "#" + bootstrapIdentity))
-	}
-	c.stateMachine.SkipEntry(1)
-	data, err := c.stateMachine.Snapshot()
-	if err != nil {
-		return err
-	}
-	state.Snapshot = voter.Snapshot{Index: 1, Term: 1, Membership: m, Data: data}
-	state.HardState = voter.HardState{Term: 1, Commit: 1}
-	return c.journal.Compact(state.Snapshot, state.HardState, nil)
-}
-
 // processVoterOutput carries out the pending output of the voter. A failed write stops the
 // voter: it must not send messages about entries that may not be durable.
 func (c *Controller) processVoterOutput() {
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -252,10 +252,11 @@
 	if _, err := f.Seek(validSize, io.SeekStart); err != nil {
 		return eris.Wrap(errors.Join(err, f.Close()), "seek in log")
 	}
-	if err := errors.Join(f.Sync(), syncFolder(j.folder)); err != nil {
-		return eris.Wrap(errors.Join(err, f.Close()), "sync log")
+	w := j.wrapFile(f)
+	if err := errors.Join(w.Sync(), syncFolder(j.folder)); err != nil {
+		return eris.Wrap(errors.Join(err, w.Close()), "sync log")
 	}
-	j.log = j.wrapFile(f)
+	j.log = w
 	j.logSize = validSize
 	return nil
 }
