soaker: every run ends with all open connections silenced, then three changes

Flows to the extra route are probed every 50 ms in place of 500, so that a change that is late in one instance shows.

--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -156,6 +156,27 @@
 	i.proxy.clear()
 }
 
+// silenceConnections makes all open connections between instances silent for good, without
+// closing them, while new ones work. It changes the configuration before, so that instances have
+// connections open, and afterwards, because a silent connection shows only when it is used.
+func (s *Soak) silenceConnections() {
+	const changesBefore, changesAfter = 12, 3
+	for range changesBefore {
+		s.putConfiguration()
+		s.sleep(250 * time.Millisecond)
+	}
+	s.logFault("silence all open connections")
+	s.runUnplannedFault(func() {
+		for _, i := range s.allInstances() {
+			i.proxy.silences.Add(1)
+		}
+	})
+	for range changesAfter {
+		s.sleep(faultSettleTime + time.Second)
+		s.putConfigurationWith(!s.lastHasExtraRoute)
+	}
+}
+
 // degradeNetwork adds latency to connections to and from an instance through its proxy,
 // and loss of datagrams to it.
 func (s *Soak) degradeNetwork(i *instance, duration time.Duration) {
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -14,6 +14,7 @@
 	dropOutbound    atomic.Bool  // drop what it sends back through the proxy
 	delay           atomic.Int64 // of each write on a connection, in nanoseconds
 	lossPerThousand atomic.Int64 // datagrams to the instance to drop
+	silences        atomic.Int64 // how often the open connections were silenced for good
 }
 
 // clear ends all faults.
@@ -155,18 +156,18 @@
 }
 
 // forwardBytes forwards bytes of a connection in one direction. If bytes arrive while drop
-// is set, it drops these and all later ones, also after the fault has ended, and closes
-// neither end.
+// is set, or once the connection was silenced, it drops these and all later ones, also after the
+// fault has ended, and closes neither end.
 func (p *proxy) forwardBytes(destination, source net.Conn, drop *atomic.Bool) {
 	defer p.goroutines.Done()
-	silent := false
+	silent, silences := false, p.silences.Load()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := source.Read(buffer)
 		if err != nil {
 			break
 		}
-		silent = silent || drop.Load()
+		silent = silent || drop.Load() || p.silences.Load() != silences
 		if silent {
 			continue
 		}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -28,7 +28,9 @@
 	stopTimeout     = 5 * time.Second  // for an instance to exit after a signal; its settings name the same time
 	warmupTime      = 6 * time.Second  // before the first fault
 	diskRepairTime  = 9 * time.Second  // for the replacement of a wiped disk; no other may be wiped before it has passed
-	putTimeout      = 5 * time.Second  // until the operator stops retrying a configuration
+	// extraRouteProbeInterval is the pause between flows to extraAddress, each through one instance.
+	extraRouteProbeInterval = 50 * time.Millisecond
+	putTimeout              = 5 * time.Second // until the operator stops retrying a configuration
 )
 
 // Settings of a soak test.
@@ -112,6 +114,7 @@
 		s.sleep(time.Duration(300+s.random.IntN(1500)) * time.Millisecond)
 	}
 	s.endFaults()
+	s.silenceConnections()
 	s.sleep(recoveryTime)
 	s.checkFinalState()
 	return s.report(), nil
@@ -259,7 +262,7 @@
 	s.runPeriodically(probeInterval, s.fabric.probeInstances)
 	s.runPeriodically(400*time.Millisecond, s.checkConfigurationRead)
 	probeCount := 0
-	s.runPeriodically(500*time.Millisecond, func() {
+	s.runPeriodically(extraRouteProbeInterval, func() {
 		probeCount++
 		request, sentAt := fmt.Sprintf("probe-%d", probeCount), time.Now()
 		outcome := s.callers[0].sendRequest(request, extraAddress)
@@ -308,8 +311,13 @@
 // exponential backoff between rounds, until one acknowledges it. It reports whether one
 // did within putTimeout.
 func (s *Soak) putConfiguration() bool {
+	return s.putConfigurationWith(s.random.IntN(2) == 0)
+}
+
+// putConfigurationWith is putConfiguration with or without the route to extraAddress.
+func (s *Soak) putConfigurationWith(extraRoute bool) bool {
 	s.lastConfigurationVersion += 1 + s.random.Uint64N(3)
-	s.lastHasExtraRoute = s.random.IntN(2) == 0
+	s.lastHasExtraRoute = extraRoute
 	body := encodeConfiguration(s.lastConfigurationVersion, s.lastHasExtraRoute)
 	s.checker.recordPut(s.lastConfigurationVersion, body, s.lastHasExtraRoute, 0)
 	startedAt := time.Now()
