controller: an instance notices that its machine was suspended

While a machine is suspended its monotonic clock stands still, so an instance took itself neither for stalled nor for isolated afterwards, and went on with the targets it knew: rumors that spread meanwhile are not sent again, and the rest comes by digests, a few records a second. Configurations are not concerned: their version is in every datagram.

A gap in it counts like one in the monotonic time: the records are read again.

--- a/controller/catch_up.go
+++ b/controller/catch_up.go
@@ -59,11 +59,12 @@
 	c.updateReadiness(now)
 }
 
-// detectIsolation detects that this instance was stalled or received no messages for
-// isolationTimeout.
+// detectIsolation detects that this instance was stalled, suspended with its machine, or received
+// no messages for isolationTimeout.
 func (c *Controller) detectIsolation(now time.Duration) {
-	stalled := now - c.lastTick
-	c.lastTick = now
+	uptime := c.clock.Uptime()
+	stalled := max(now-c.lastTick, uptime-c.lastUptime)
+	c.lastTick, c.lastUptime = now, uptime
 	silence := now - c.gossip.LastContact()
 	if c.caughtUp && (stalled >= isolationTimeout || silence >= isolationTimeout) {
 		c.caughtUp = false
--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -16,10 +16,14 @@
 	"almondpick/voter"
 )
 
+var testStart = time.Now()
+
 type wallClock struct{}
 
 func (wallClock) Now() time.Time { return time.Now() }
 
+func (wallClock) Uptime() time.Duration { return time.Since(testStart) }
+
 func (wallClock) Ticker(d time.Duration) (<-chan time.Time, func()) {
 	t := time.NewTicker(d)
 	return t.C, t.Stop
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -21,10 +21,13 @@
 )
 
 // Clock provides the current time and tickers. Ticker returns a channel that receives the time
-// every d, and a function that stops the ticker.
+// every d, and a function that stops the ticker. Uptime returns the time since a fixed moment,
+// including the time for which the machine was suspended. The monotonic time that Now returns and
+// the tickers may stand still during it.
 type Clock interface {
 	Now() time.Time
 	Ticker(d time.Duration) (<-chan time.Time, func())
+	Uptime() time.Duration
 }
 
 // Transport sends messages to other instances. The argument to is the PeerAddress of an instance
@@ -127,6 +130,7 @@
 	partialSource     string        // RPC address of the storage instance that sent the latest partial reply
 	partialReplies    int           // partial replies since the last pause
 	lastTick          time.Duration
+	lastUptime        time.Duration // Clock.Uptime at the last tick
 	confirmingConfig  bool          // a read that confirms the configuration is in progress
 	nextConfirm       time.Duration // earliest next attempt after a failure
 	recentCommands    []recentCommand
@@ -223,6 +227,7 @@
 	for _, o := range options {
 		o(c)
 	}
+	c.lastUptime = clock.Uptime()
 	c.registry = announcer.NewRegistry(settings.Self.Name, announcer.WithChangeCallback(c.logTarget))
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	incarnation := uint64(c.startTime.UnixMilli())
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -39,10 +39,12 @@
 	instanceCount      = 3
 )
 
-// Clock provides the time and tickers. The function that Ticker returns stops the ticker.
+// Clock provides the time, tickers, and the time since a fixed moment that includes suspensions of
+// the machine. The function that Ticker returns stops the ticker.
 type Clock interface {
 	Now() time.Time
 	Ticker(d time.Duration) (<-chan time.Time, func())
+	Uptime() time.Duration
 }
 
 // TimeoutError reports a condition that was not met within stepTimeout.
--- a/server/server.go
+++ b/server/server.go
@@ -33,10 +33,12 @@
 	"almondpick/requester"
 )
 
-// Clock provides the current time and tickers.
+// Clock provides the current time and tickers, and the time since a fixed moment that includes
+// suspensions of the machine.
 type Clock interface {
 	Now() time.Time
 	Ticker(d time.Duration) (<-chan time.Time, func())
+	Uptime() time.Duration
 }
 
 // controllerPtr is a short name for the type of the controller fields.
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -16,10 +16,14 @@
 	"almondpick/diverter"
 )
 
+var testStart = time.Now()
+
 type systemClock struct{}
 
 func (systemClock) Now() time.Time { return time.Now() }
 
+func (systemClock) Uptime() time.Duration { return time.Since(testStart) }
+
 func (systemClock) Ticker(d time.Duration) (<-chan time.Time, func()) {
 	t := time.NewTicker(d)
 	return t.C, t.Stop
