--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -55,7 +55,11 @@
 // Limits of the fields of an announcement.
 const (
 	MaxSlots       = 1 << 16
-	MaxConnections = 1 << 24
+	MaxConnections = 1 << 24 // also of running requests
+	MaxSlowStart   = 24 * time.Hour
+	// MaxCounter is the highest incarnation and sequence. No later announcement could exceed one
+	// at the top of the range of the type.
+	MaxCounter = 1 << 62
 )
 
 // Intervals and timeouts.
@@ -116,8 +120,8 @@
 // Validate returns a *FieldError for the first field out of range.
 func (a Announcement) Validate() error {
 	switch {
-	case !a.Endpoint.IsValid() || a.Endpoint.Port() == 0:
-		return &FieldError{Field: "endpoint", Value: a.Endpoint.String(), Allowed: "IP:port"}
+	case !isDestination(a.Endpoint):
+		return &FieldError{Field: "endpoint", Value: a.Endpoint.String(), Allowed: "IP:port of one host, without a zone"}
 	case !jobPattern.MatchString(a.Job):
 		return &FieldError{Field: "job", Value: a.Job, Allowed: "1 to 63 letters, digits, '.', '_' and '-'"}
 	case len(a.DataCentre) > 63:
@@ -126,6 +130,14 @@
 		return &FieldError{Field: "slots", Value: strconv.Itoa(a.Slots), Allowed: "0 to 65536"}
 	case a.Connections < 0 || a.Connections > MaxConnections:
 		return &FieldError{Field: "connections", Value: strconv.Itoa(a.Connections), Allowed: "0 to 16777216"}
+	case a.RunningRequests < 0 || a.RunningRequests > MaxConnections:
+		return &FieldError{Field: "running", Value: strconv.Itoa(a.RunningRequests), Allowed: "0 to 16777216"}
+	case a.SlowStartRemaining < 0 || a.SlowStartRemaining > MaxSlowStart:
+		return &FieldError{Field: "cold-for", Value: a.SlowStartRemaining.String(), Allowed: "0s to " + MaxSlowStart.String()}
+	case a.Incarnation > MaxCounter:
+		return &FieldError{Field: "incarnation", Value: strconv.FormatUint(a.Incarnation, 10), Allowed: "at most 1<<62"}
+	case a.Sequence > MaxCounter:
+		return &FieldError{Field: "sequence", Value: strconv.FormatUint(a.Sequence, 10), Allowed: "at most 1<<62"}
 	case !(a.Load >= 0 && a.Load <= 1000):
 		return &FieldError{Field: "load", Value: strconv.FormatFloat(a.Load, 'g', -1, 64), Allowed: "0 to 1000"}
 	case a.State >= stateCount:
@@ -134,6 +146,12 @@
 	return nil
 }
 
+// isDestination reports whether packets can be sent to an address.
+func isDestination(a netip.AddrPort) bool {
+	ip := a.Addr()
+	return a.IsValid() && a.Port() != 0 && ip.Zone() == "" && !ip.IsUnspecified() && !ip.IsMulticast()
+}
+
 // announcementBody is the body of the gossip record of a target.
 type announcementBody struct {
 	_                  struct{} `cbor:",toarray"`
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -1,8 +1,10 @@
 package announcer
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -152,6 +154,39 @@
 	}
 }
 
+// A record may come from another instance or a disk, with any body.
+func TestOddRecordNamesNoTarget(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry("i1")
+	r.HandleRecord(0, encodeRecord(announcement(1, nil), "i2", gossiper.LivenessSelfReported))
+	nested := bytes.Repeat([]byte{0x81}, 4000) // arrays of one element
+	bodies := [][]byte{nil, {0xff}, nested, append(nested, 0xf6)}
+	for _, change := range []func(*Announcement){
+		func(a *Announcement) { a.SlowStartRemaining = -1 },
+		func(a *Announcement) { a.SlowStartRemaining = math.MaxInt64 },
+		func(a *Announcement) { a.Endpoint = netip.MustParseAddrPort("10.0.0.2:0") },
+		func(a *Announcement) { a.Endpoint = netip.MustParseAddrPort("[fe80::1%eth0]:80") },
+		func(a *Announcement) { a.Endpoint = netip.MustParseAddrPort("224.0.0.1:80") },
+		func(a *Announcement) { a.RunningRequests = math.MinInt },
+		func(a *Announcement) { a.Slots = math.MaxInt },
+		func(a *Announcement) { a.Load = math.NaN() },
+	} {
+		bodies = append(bodies, encodeRecord(announcement(2, change), "i2", gossiper.LivenessSelfReported).Body)
+	}
+	for _, body := range bodies {
+		r.HandleRecord(0, gossiper.Record{Key: TargetKey(netip.MustParseAddrPort("10.0.0.1:6081")), Incarnation: 9, Sequence: 9, Body: body})
+	}
+	for _, change := range []func(*Announcement){
+		func(a *Announcement) { a.Incarnation = math.MaxUint64 },
+		func(a *Announcement) { a.Sequence = math.MaxUint64 },
+	} {
+		r.HandleRecord(0, encodeRecord(announcement(2, change), "i2", gossiper.LivenessSelfReported))
+	}
+	is.Equal(r.Len(), 1)
+	is.Equal(onlyTarget(r).Incarnation, uint64(1))
+	is.Equal(onlyTarget(r).Sequence, uint64(1))
+}
+
 func FuzzAnnouncement(f *testing.F) {
 	b, err := json.Marshal(announcement(1, nil))
 	if err != nil {
--- a/controller/data_folder_test.go
+++ b/controller/data_folder_test.go
@@ -141,4 +141,3 @@
 		network.stop(t, n)
 	}
 }
-
