requester: an idle connection to another instance is closed after a second

Where one has gone silent, the request on it waits until its caller's deadline. A request under way when its connection goes silent still waits; its caller may repeat it.

--- a/requester/transports.go
+++ b/requester/transports.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"time"
 )
 
 // newTargetTransport returns the transport to targets, which opens a connection for each
@@ -16,6 +17,10 @@
 	}
 }
 
+// peerIdleTimeout is short, because a connection may go silent without being closed, and a request
+// on it would wait until its deadline.
+const peerIdleTimeout = time.Second
+
 // peerTransports are the two transports to other instances. Requests with an unsafe method
 // get a new connection each: the peer may be closing a reused connection at that moment, and
 // the outcome of the request would then be unknown.
@@ -29,7 +34,7 @@
 	keepAlive := newConnection.Clone()
 	keepAlive.DisableKeepAlives = false
 	keepAlive.MaxIdleConnsPerHost = 256
-	keepAlive.IdleConnTimeout = idleTimeout / 2
+	keepAlive.IdleConnTimeout = peerIdleTimeout
 	return &peerTransports{keepAlive: keepAlive, newConnection: newConnection}
 }
 
