server: a suspicion that comes too late leaves no connection open

Found on reading the diff: the timer that makes the connection of an unanswered call suspect may fire while the call is ending. The connection was then taken out of use with no call left to close it, and stayed open until the process ended, one for each such moment.

A connection without calls is no longer replaced: its last call has just settled the question. TestLateSuspicionLeavesNoConnectionBehind failed before.

--- a/server/peer_conn.go
+++ b/server/peer_conn.go
@@ -96,11 +96,11 @@
 }
 
 // replaceConn makes later calls to a peer use a new connection instead of conn. Calls in progress
-// go on: their replies may only be slow. It must be called by one of them.
+// go on: their replies may only be slow. If there are none, the suspicion has just been settled.
 func (t *transport) replaceConn(to string, conn *peerConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if conn.replaced {
+	if conn.replaced || conn.calls == 0 {
 		return
 	}
 	conn.replaced = true
--- a/server/silent_connection_test.go
+++ b/server/silent_connection_test.go
@@ -245,3 +245,16 @@
 	is.NoErr(fetchOnce(tr, s.Addr().String()))
 	is.Equal(s.accepted.Load(), replaced)
 }
+
+// A call may end at the moment at which its connection becomes suspect.
+func TestLateSuspicionLeavesNoConnectionBehind(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	_, s, tr := startPeerStub(t)
+	conn, err := tr.acquireConn(s.Addr().String())
+	is.NoErr(err)
+	tr.releaseConn(conn, nil)
+	tr.replaceConn(s.Addr().String(), conn)
+	is.Equal(len(tr.openConns), 1)
+	is.Equal(tr.conns[s.Addr().String()], conn)
+}
