--- a/requester/view.go
+++ b/requester/view.go
@@ -87,4 +87,3 @@
 	}
 	return indexed
 }
-
