--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -130,6 +130,15 @@
 		return &FieldError{Field: "slots", Value: strconv.Itoa(a.Slots), Allowed: "0 to 65536"}
 	case a.Connections < 0 || a.Connections > MaxConnections:
 		return &FieldError{Field: "connections", Value: strconv.Itoa(a.Connections), Allowed: "0 to 16777216"}
+	case a.State >= stateCount:
+		return &FieldError{Field: "state", Value: strconv.Itoa(int(a.State)), Allowed: "serving, cold, draining or gone"}
+	}
+	return a.validateNumbers()
+}
+
+// validateNumbers returns a *FieldError for the first of the load and the counters out of range.
+func (a Announcement) validateNumbers() error {
+	switch {
 	case a.RunningRequests < 0 || a.RunningRequests > MaxConnections:
 		return &FieldError{Field: "running", Value: strconv.Itoa(a.RunningRequests), Allowed: "0 to 16777216"}
 	case a.SlowStartRemaining < 0 || a.SlowStartRemaining > MaxSlowStart:
@@ -140,8 +149,6 @@
 		return &FieldError{Field: "sequence", Value: strconv.FormatUint(a.Sequence, 10), Allowed: "at most 1<<62"}
 	case !(a.Load >= 0 && a.Load <= 1000):
 		return &FieldError{Field: "load", Value: strconv.FormatFloat(a.Load, 'g', -1, 64), Allowed: "0 to 1000"}
-	case a.State >= stateCount:
-		return &FieldError{Field: "state", Value: strconv.Itoa(int(a.State)), Allowed: "serving, cold, draining or gone"}
 	}
 	return nil
 }
