controller: members are not sorted while no further call for a configuration may start

Whether one may start is now asked first. A fetch that is no longer needed because the newest member died ends when its calls do, not at once. The tests of the package pass with the race detector.

--- a/controller/fetch.go
+++ b/controller/fetch.go
@@ -72,16 +72,17 @@
 		c.fetch.end()
 		return
 	}
+	now := c.now()
+	if !c.fetch.mayCall(now) {
+		return
+	}
 	newest := c.gossip.NewestConfigMembers()
 	if len(newest) == 0 || newest[0].ConfigVersion <= c.stateMachine.Config().Version {
 		c.fetch.end()
 		return
 	}
-	now := c.now()
 	c.fetch.begin(c.ctx, now)
-	if c.fetch.mayCall(now) {
-		c.fetchConfigFrom(c.fetch.choose(newest), now)
-	}
+	c.fetchConfigFrom(c.fetch.choose(newest), now)
 }
 
 // fetchConfigFrom starts a call that fetches the configuration from a member.
