--- a/controller/catch_up_test.go
+++ b/controller/catch_up_test.go
@@ -24,13 +24,7 @@
 	network.startThree(t)
 	is.NoErr(network.controllerAt(peerAddress(0)).Announce(context.Background(), servingTarget(1)))
 
-	self := gossiper.Instance{Name: "10.0.0.9", DataCentre: "dc0", PeerAddress: "10.0.0.9:7000", RPCAddress: "10.0.0.9:7000"}
-	seeds := []string{peerAddress(0), peerAddress(1), peerAddress(2)}
-	diskless, err := New(Settings{Self: self, Seeds: seeds, VoterCount: 3, LabelSteering: true}, tickerlessClock{}, testTransport{testNetwork: network, self: self.PeerAddress}, network.keys)
-	is.NoErr(err)
-	network.mu.Lock()
-	network.controllers[self.PeerAddress] = diskless
-	network.mu.Unlock()
+	diskless := network.startDiskless(t, tickerlessClock{}, network.disklessTransport())
 	eventually(t, "diskless instance is ready", func() bool {
 		state, err := diskless.ClusterState(context.Background())
 		return err == nil && state.Ready && state.ConfigConfirmed && len(state.Targets) == 1
--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -137,6 +137,28 @@
 	return c
 }
 
+const disklessAddress = "10.0.0.9:7000" // of the instance that startDiskless starts
+
+// disklessTransport returns the transport of the instance that startDiskless starts.
+func (network *testNetwork) disklessTransport() testTransport {
+	return testTransport{testNetwork: network, self: disklessAddress}
+}
+
+// startDiskless starts an instance without a disk in the data centre of the first storage instance.
+func (network *testNetwork) startDiskless(t *testing.T, clock Clock, transport Transport) *Controller {
+	t.Helper()
+	self := gossiper.Instance{Name: "10.0.0.9", DataCentre: "dc0", PeerAddress: disklessAddress, RPCAddress: disklessAddress}
+	seeds := []string{peerAddress(0), peerAddress(1), peerAddress(2)}
+	c, err := New(Settings{Self: self, Seeds: seeds, VoterCount: 3, LabelSteering: true}, clock, transport, network.keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	network.mu.Lock()
+	network.controllers[disklessAddress] = c
+	network.mu.Unlock()
+	return c
+}
+
 // startThree starts a deployment of three storage instances and waits until it accepts a
 // ruleset. It returns the data folders.
 func (network *testNetwork) startThree(t *testing.T) []string {
--- a/controller/fetch_test.go
+++ b/controller/fetch_test.go
@@ -30,22 +30,6 @@
 	return t.testTransport.Fetch(ctx, to, after)
 }
 
-// startDiskless starts an instance without a disk in the data centre of the first storage instance.
-func (network *testNetwork) startDiskless(t *testing.T, drop func(to string) bool) *Controller {
-	t.Helper()
-	self := gossiper.Instance{Name: "10.0.0.9", DataCentre: "dc0", PeerAddress: "10.0.0.9:7000", RPCAddress: "10.0.0.9:7000"}
-	seeds := []string{peerAddress(0), peerAddress(1), peerAddress(2)}
-	transport := unansweredTransport{testTransport: testTransport{testNetwork: network, self: self.PeerAddress}, drop: drop}
-	c, err := New(Settings{Self: self, Seeds: seeds, VoterCount: 3, LabelSteering: true}, wallClock{}, transport, network.keys)
-	if err != nil {
-		t.Fatal(err)
-	}
-	network.mu.Lock()
-	network.controllers[self.PeerAddress] = c
-	network.mu.Unlock()
-	return c
-}
-
 func heldRuleset(c *Controller) uint64 {
 	s, err := c.ClusterState(context.Background())
 	if err != nil {
@@ -60,7 +44,8 @@
 	network.startThree(t)
 	var silent atomic.Bool
 	var dropped atomic.Int64
-	diskless := network.startDiskless(t, func(string) bool { return silent.Load() && dropped.Add(1) <= 2 })
+	drop := func(string) bool { return silent.Load() && dropped.Add(1) <= 2 }
+	diskless := network.startDiskless(t, wallClock{}, unansweredTransport{testTransport: network.disklessTransport(), drop: drop})
 	eventually(t, "the first ruleset is in force", func() bool { return heldRuleset(diskless) == 1 })
 	silent.Store(true)
 	eventually(t, "the change is accepted", func() bool { return replaceRuleset(network.controllerAt(peerAddress(0)), 2) == nil })
@@ -78,7 +63,7 @@
 	is := is.New(t)
 	network := newTestNetwork(t)
 	network.startThree(t)
-	diskless := network.startDiskless(t, func(string) bool { return false })
+	diskless := network.startDiskless(t, wallClock{}, network.disklessTransport())
 	source := network.controllerAt(peerAddress(0))
 	late, err := source.Fetch(context.Background(), 0)
 	is.NoErr(err)
--- a/controller/suspension_test.go
+++ b/controller/suspension_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/matryer/is"
 
-	"almondpick/gossiper"
 	"almondpick/messenger"
 )
 
@@ -41,14 +40,8 @@
 	network := newTestNetwork(t)
 	network.startThree(t)
 	var suspended, calls atomic.Int64
-	self := gossiper.Instance{Name: "10.0.0.9", DataCentre: "dc0", PeerAddress: "10.0.0.9:7000", RPCAddress: "10.0.0.9:7000"}
-	seeds := []string{peerAddress(0), peerAddress(1), peerAddress(2)}
-	transport := recordsCounter{testTransport: testTransport{testNetwork: network, self: self.PeerAddress}, calls: &calls}
-	c, err := New(Settings{Self: self, Seeds: seeds, VoterCount: 3, LabelSteering: true}, suspendableClock{suspended: &suspended}, transport, network.keys)
-	is.NoErr(err)
-	network.mu.Lock()
-	network.controllers[self.PeerAddress] = c
-	network.mu.Unlock()
+	transport := recordsCounter{testTransport: network.disklessTransport(), calls: &calls}
+	c := network.startDiskless(t, suspendableClock{suspended: &suspended}, transport)
 	caughtUp := func() bool {
 		ok := false
 		c.runInLoop(context.Background(), func() { ok = c.caughtUp })
