review: case 2, a heartbeat with fields missing leads requests to another service

Cause: decodeHeartbeat asks for six of the fields that a heartbeat has, and the registry lets any later announcement replace the entry of an address. Change: a script in which another writer sends two heartbeats without version and warmupLeftMs.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,9 +18,10 @@
 
 // cases are the cases by name. Each returns an exit code.
 var cases = map[string]func(e *environment) int{
-	"late-delete": lateDelete,
-	"first-start": firstStart,
-	"odd-entry":   oddEntry,
+	"late-delete":    lateDelete,
+	"first-start":    firstStart,
+	"odd-entry":      oddEntry,
+	"missing-fields": missingFields,
 }
 
 // environment is what a case runs in.
