review: case 2, the acknowledged departure of a server is ignored

Cause: a heartbeat without version and warmupLeftMs counts, and an announcement with a lower counter than the known one is dropped and acknowledged all the same, also one that says draining. Change: a script in which another writer repeats the entry of one server in an older form with a counter of its own.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	"first-start":    firstStart,
 	"odd-entry":      oddEntry,
 	"missing-fields": missingFields,
+	"copied-entry":   copiedEntry,
 }
 
 // environment is what a case runs in.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -35,6 +35,7 @@
 	beats    sync.WaitGroup
 	loops    sync.WaitGroup
 	runs     func(id string)
+	opened   func(from string) // is called with the client of each flow that is opened
 }
 
 type serverFlow struct {
@@ -201,6 +202,9 @@
 		if f == nil {
 			f = &serverFlow{seq: rand.Uint32()}
 			s.flows[key] = f
+			if s.opened != nil {
+				s.opened(fmt.Sprintf("%v:%d", net.IP(p.src[:]), p.sport))
+			}
 		}
 		answer.flags, answer.seq, answer.ack = flagSYN|flagACK, f.seq, p.seq+1
 	case f == nil || p.ack != f.seq+1 && !f.open:
