announcer, controller: a late deregistration does not end the next incarnation of a target

What callers saw: after a release in which the targets of a service started again under their ids while one control instance was cut off, no request to the service was served, for good, also after a restart of everything.

Cause: a deregistration names an id only. Registry.Deregister took it for whatever incarnation of the id was known when it was handled. A call that a cut had held up for 4 s therefore ended the incarnation that had started meanwhile, and the end went into the log. An end is final for its incarnation, so that each later heartbeat was ignored.

Change: only an incarnation that has said that it drains can end. A target says so at least the drain time before it deregisters, so that one that accepts new work has not sent the call. If the registry knows only such incarnations, the instance first applies what is committed in the log, which may hold a notice that it has missed, and looks again. Then the call is refused with a typed error (409) and changes nothing: a 200 would promise that the target gets no work. A target of which no notice arrived and which exits is found out by its silence, as one that crashes.

Two tests had a target deregister that had never said that it drains, and expected that this is acknowledged.

--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -50,6 +50,8 @@
 
 const second = time.Second
 
+var otherEndpoint = netip.MustParseAddrPort("10.0.0.2:6081")
+
 func TestOnlyChangesAreBroadcast(t *testing.T) {
 	is := is.New(t)
 	r, s := NewRegistry("i1"), &recordingPublisher{}
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -46,33 +45,6 @@
 	return c.awaitDepartureCommit(ctx, committed)
 }
 
-// Deregister processes the notification of a target that it has ended. It succeeds for an
-// unknown target, which needs no deregistration, once this instance knows the targets. The error
-// is a *NotCaughtUpError, a *DepartureNotDurableError or a *ClosedError.
-func (c *Controller) Deregister(ctx context.Context, identity uint64) error {
-	var err error
-	var committed <-chan bool
-	known := false
-	ok := c.runInLoop(ctx, func() {
-		var at netip.AddrPort
-		at, known = c.registry.Deregister(c.now(), identity, c.gossip)
-		switch {
-		case known:
-			committed = c.commitDeparture(at)
-		case !c.knowsTargets():
-			err = &NotCaughtUpError{}
-		}
-	})
-	if !ok {
-		return &ClosedError{}
-	}
-	if err == nil {
-		err = c.awaitDepartureCommit(ctx, committed)
-	}
-	c.log.Info("target-withdrawal", "identity", identity, "known", known, "error", err)
-	return err
-}
-
 // ClusterState returns the present control state. The error is a *ClosedError.
 func (c *Controller) ClusterState(ctx context.Context) (ClusterState, error) {
 	var s ClusterState
--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -44,9 +44,31 @@
 	mu              sync.Mutex
 	keys            messenger.DerivedKeys
 	controllers     map[string]*Controller // by peer address
+	isolated        map[string]bool        // peer addresses that datagrams and voter messages do not reach
 	electionTimeout time.Duration
 }
 
+// cutOff drops the datagrams and the voter messages to one controller, or no longer.
+func (network *testNetwork) cutOff(address string, cut bool) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	if network.isolated == nil {
+		network.isolated = make(map[string]bool)
+	}
+	network.isolated[address] = cut
+}
+
+// messageReceiver returns the controller that a datagram or voter message to address reaches, or
+// nil.
+func (network *testNetwork) messageReceiver(address string) *Controller {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	if network.isolated[address] {
+		return nil
+	}
+	return network.controllers[address]
+}
+
 func (network *testNetwork) controllerAt(address string) *Controller {
 	network.mu.Lock()
 	defer network.mu.Unlock()
@@ -60,7 +82,7 @@
 }
 
 func (t testTransport) Datagram(to string, b []byte) {
-	if c := t.controllerAt(to); c != nil {
+	if c := t.messageReceiver(to); c != nil {
 		if _, body, err := t.keys.VerifyDatagram(b); err == nil {
 			_, _ = c.Gossip(t.self, append([]byte(nil), body...))
 		}
@@ -68,7 +90,7 @@
 }
 
 func (t testTransport) Exchange(to string, m voter.Message) {
-	if c := t.controllerAt(to); c != nil {
+	if c := t.messageReceiver(to); c != nil {
 		c.Step([]voter.Message{m})
 	}
 }
--- a/controller/departures.go
+++ b/controller/departures.go
@@ -52,6 +52,47 @@
 	committed chan<- bool // receives whether the departure was committed
 }
 
+// Deregister processes the notification of a target that it has ended. If it returns nil, the end
+// is durable, or the target is unknown, and this instance knows the targets. The error is a
+// *announcer.NotDrainingError, a *NotCaughtUpError, an *UnconfirmedReadError, a *DepartureNotDurableError or
+// a *ClosedError.
+func (c *Controller) Deregister(ctx context.Context, identity uint64) error {
+	outcome, err := c.deregisterKnown(ctx, identity)
+	if err == nil && outcome == announcer.NotDraining {
+		// The log may hold a notice that this instance has not received yet.
+		if err = c.awaitNewestLog(ctx); err == nil {
+			outcome, err = c.deregisterKnown(ctx, identity)
+		}
+	}
+	if err == nil && outcome == announcer.NotDraining {
+		err = &announcer.NotDrainingError{Identity: identity}
+	}
+	c.log.Info("target-withdrawal", "identity", identity, "outcome", outcome.String(), "error", err)
+	return err
+}
+
+// deregisterKnown processes a deregistration by what this instance knows of the target.
+func (c *Controller) deregisterKnown(ctx context.Context, identity uint64) (announcer.DeregistrationOutcome, error) {
+	var outcome announcer.DeregistrationOutcome
+	var committed <-chan bool
+	knowsTargets := false
+	ok := c.runInLoop(ctx, func() {
+		var at netip.AddrPort
+		at, outcome = c.registry.Deregister(c.now(), identity, c.gossip)
+		if outcome == announcer.Ended {
+			committed = c.commitDeparture(at)
+		}
+		knowsTargets = c.knowsTargets()
+	})
+	switch {
+	case !ok:
+		return outcome, &ClosedError{}
+	case outcome == announcer.UnknownTarget && !knowsTargets:
+		return outcome, &NotCaughtUpError{}
+	}
+	return outcome, c.awaitDepartureCommit(ctx, committed)
+}
+
 // commitDeparture proposes the departure of the target at an endpoint to the log. The channel
 // receives whether it was committed; it is nil if there is nothing to record. The function
 // must be called from the control loop.
--- a/controller/departures_test.go
+++ b/controller/departures_test.go
@@ -60,9 +60,12 @@
 }
 
 // announceDeparture announces the departure of a target to one instance until the instance
-// acknowledges it.
+// acknowledges it. A target that deregisters has said before that it drains.
 func announceDeparture(t *testing.T, c *Controller, n int, state announcer.State) {
 	t.Helper()
+	if state == announcer.Deregistered {
+		announceDeparture(t, c, n, announcer.Draining)
+	}
 	eventually(t, "departure is acknowledged", func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
--- a/controller/read.go
+++ b/controller/read.go
@@ -30,25 +30,33 @@
 // before the first one. The error is an *UnconfirmedReadError if that cannot be guaranteed, or
 // a *ClosedError.
 func (c *Controller) Ruleset(ctx context.Context) (*planner.Ruleset, error) {
-	at, err := c.ReadIndex(ctx)
-	if err != nil {
+	if err := c.awaitNewestLog(ctx); err != nil {
 		return nil, err
 	}
-	done := make(chan struct{})
 	var rules *planner.Ruleset
-	ok := c.runInLoop(ctx, func() { c.notifyWhenApplied(at.ReadIndex, done) })
-	if !ok {
+	if !c.runInLoop(ctx, func() { rules = c.stateMachine.Config().Ruleset }) {
 		return nil, &ClosedError{}
 	}
+	return rules, nil
+}
+
+// awaitNewestLog waits until this instance has applied everything that was committed before the
+// call began. The error is an *UnconfirmedReadError or a *ClosedError.
+func (c *Controller) awaitNewestLog(ctx context.Context) error {
+	at, err := c.ReadIndex(ctx)
+	if err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	if !c.runInLoop(ctx, func() { c.notifyWhenApplied(at.ReadIndex, done) }) {
+		return &ClosedError{}
+	}
 	select {
 	case <-done:
+		return nil
 	case <-ctx.Done():
-		return nil, &UnconfirmedReadError{Reason: "the log is behind"}
+		return &UnconfirmedReadError{Reason: "the log is behind"}
 	}
-	if !c.runInLoop(ctx, func() { rules = c.stateMachine.Config().Ruleset }) {
-		return nil, &ClosedError{}
-	}
-	return rules, nil
 }
 
 // ReadIndex returns a position of the log that includes everything committed before the call
