controller: a target is told that its departure is recorded only if it is its own

What targets saw: a notice that they drain was answered with 200 although it had been ignored, as a newer announcement of another writer held their endpoint; and a heartbeat of a target that stays was answered with 503 while the departure of another writer at its endpoint could not be committed.

Cause: after each announcement the record of its endpoint was looked up, whoever it was of and whatever the announcement said. A record that shows no departure counted as nothing to record.

Change: only an announcement that says that its target leaves has a departure to record, and it is answered with 200 only if the record of the endpoint shows the departure of that identity. Otherwise it gets a typed error (503), so that the target asks another instance.

TestOnlyTheDepartureOfTheCallerItselfIsAcknowledged fails on the code before at the first error that it expects, and passes now.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -104,6 +104,11 @@
 	return a
 }
 
+// Leaves reports whether the target says that it accepts no more new work.
+func (a Announcement) Leaves() bool {
+	return a.State == Draining || a.State == Deregistered
+}
+
 // FieldError reports a field of an announcement that is out of range. It is sent to targets
 // as JSON.
 type FieldError struct {
--- a/announcer/departure.go
+++ b/announcer/departure.go
@@ -55,7 +55,7 @@
 // target as unreachable.
 func DepartureFromRecord(rec gossiper.Record) (d Departure, ok bool) {
 	a, monitor, ok := decodeRecord(rec)
-	if !ok || rec.Liveness != gossiper.LivenessSelfReported || (a.State != Draining && a.State != Deregistered) {
+	if !ok || rec.Liveness != gossiper.LivenessSelfReported || !a.Leaves() {
 		return Departure{}, false
 	}
 	return Departure{
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -27,13 +27,14 @@
 
 // Announce processes an announcement of a target. If the target leaves and Announce returns
 // nil, the departure is durable. The error is an *announcer.FieldError, a
-// *DepartureNotDurableError or a *ClosedError.
+// *DepartureIgnoredError, a *DepartureNotDurableError or a *ClosedError.
 func (c *Controller) Announce(ctx context.Context, a announcer.Announcement) error {
 	var err error
 	var committed <-chan bool
 	ok := c.runInLoop(ctx, func() {
-		if err = c.registry.HandleAnnouncement(c.now(), a, c.gossip); err == nil {
-			committed = c.commitDeparture(a.Endpoint)
+		err = c.registry.HandleAnnouncement(c.now(), a, c.gossip)
+		if err == nil && a.Leaves() {
+			committed, err = c.commitDeparture(a.Endpoint, a.Identity)
 		}
 	})
 	if !ok {
--- a/controller/departures.go
+++ b/controller/departures.go
@@ -28,6 +28,17 @@
 	return "no majority has recorded yet that the target leaves"
 }
 
+// DepartureIgnoredError is returned for the departure of a target that the record of its endpoint
+// does not show, because a newer announcement for the endpoint is known.
+type DepartureIgnoredError struct {
+	Endpoint netip.AddrPort
+}
+
+// Error implements error.
+func (e *DepartureIgnoredError) Error() string {
+	return "a newer announcement is known for " + e.Endpoint.String()
+}
+
 // NotCaughtUpError is returned for the deregistration of an unknown target by an instance that
 // has just started and may still learn of the target.
 type NotCaughtUpError struct{}
@@ -54,8 +65,8 @@
 
 // Deregister processes the notification of a target that it has ended. If it returns nil, the end
 // is durable, or the target is unknown, and this instance knows the targets. The error is a
-// *announcer.NotDrainingError, a *NotCaughtUpError, an *UnconfirmedReadError, a *DepartureNotDurableError or
-// a *ClosedError.
+// *announcer.NotDrainingError, a *NotCaughtUpError, an *UnconfirmedReadError, a
+// *DepartureIgnoredError, a *DepartureNotDurableError or a *ClosedError.
 func (c *Controller) Deregister(ctx context.Context, identity uint64) error {
 	outcome, err := c.deregisterKnown(ctx, identity)
 	if err == nil && outcome == announcer.NotDraining {
@@ -75,12 +86,13 @@
 func (c *Controller) deregisterKnown(ctx context.Context, identity uint64) (announcer.DeregistrationOutcome, error) {
 	var outcome announcer.DeregistrationOutcome
 	var committed <-chan bool
+	var err error
 	knowsTargets := false
 	ok := c.runInLoop(ctx, func() {
 		var at netip.AddrPort
 		at, outcome = c.registry.Deregister(c.now(), identity, c.gossip)
 		if outcome == announcer.Ended {
-			committed = c.commitDeparture(at)
+			committed, err = c.commitDeparture(at, identity)
 		}
 		knowsTargets = c.knowsTargets()
 	})
@@ -89,29 +101,35 @@
 		return outcome, &ClosedError{}
 	case outcome == announcer.UnknownTarget && !knowsTargets:
 		return outcome, &NotCaughtUpError{}
+	case err != nil:
+		return outcome, err
 	}
 	return outcome, c.awaitDepartureCommit(ctx, committed)
 }
 
-// commitDeparture proposes the departure of the target at an endpoint to the log. The channel
-// receives whether it was committed; it is nil if there is nothing to record. The function
-// must be called from the control loop.
-func (c *Controller) commitDeparture(at netip.AddrPort) <-chan bool {
+// commitDeparture proposes the departure of the target with the given identity at an endpoint to
+// the log. The channel receives whether it was committed; it is nil if it is committed already or
+// the deployment has no log. The error is a *DepartureIgnoredError. The function must be called
+// from the control loop.
+func (c *Controller) commitDeparture(at netip.AddrPort, identity uint64) (<-chan bool, error) {
+	if !c.deploymentHasLog() {
+		return nil, nil
+	}
 	rec, ok := c.gossip.Record(announcer.TargetKey(at))
-	if !ok || !c.deploymentHasLog() {
-		return nil
+	if !ok {
+		return nil, &DepartureIgnoredError{Endpoint: at}
 	}
 	d, ok := announcer.DepartureFromRecord(rec)
-	if !ok {
-		return nil
+	if !ok || d.Identity != identity {
+		return nil, &DepartureIgnoredError{Endpoint: at}
 	}
 	if held, ok := c.stateMachine.Departure(at); ok && held.AtLeastAsNewAs(d) {
-		return nil
+		return nil, nil
 	}
 	committed := make(chan bool, 1)
 	c.departures.waiting = append(c.departures.waiting, pendingDeparture{departure: d, committed: committed})
 	c.proposeDepartures()
-	return committed
+	return committed, nil
 }
 
 // deploymentHasLog reports whether the deployment has a replicated log.
--- a/controller/departures_test.go
+++ b/controller/departures_test.go
@@ -206,3 +206,32 @@
 		network.stop(t, n)
 	}
 }
+
+// A later announcement of another writer for the endpoint of a target, with another identity, is
+// known. The notice of the target that it drains is not acknowledged then, and its heartbeats are
+// not refused because the departure of the other one cannot be recorded.
+func TestOnlyTheDepartureOfTheCallerItselfIsAcknowledged(t *testing.T) {
+	is := is.New(t)
+	network := newTestNetwork(t)
+	network.startThree(t)
+	c := network.controllerAt(peerAddress(0))
+	is.NoErr(c.Announce(context.Background(), servingTarget(1)))
+	other := servingTarget(1)
+	other.Identity, other.Incarnation = 99, 5
+	is.NoErr(c.Announce(context.Background(), other))
+	draining := servingTarget(1)
+	draining.State, draining.Sequence = announcer.Draining, 2
+	var ignored *DepartureIgnoredError
+	is.True(errors.As(c.Announce(context.Background(), draining), &ignored))
+
+	network.stop(t, 1)
+	network.stop(t, 2)
+	other.State, other.Sequence = announcer.Draining, 2
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	is.True(c.Announce(ctx, other) != nil) // no majority
+	serving := servingTarget(1)
+	serving.Sequence = 3
+	is.NoErr(c.Announce(context.Background(), serving))
+	network.stop(t, 0)
+}
