announcer, controller: a target of an unnamed job takes the place of no other

What callers saw: another writer sent one heartbeat for the address of each target of a service, for a service that no configuration names. From then on no request was served, and it stayed so until the targets were started again.

Cause: the registry keys targets by endpoint, and an announcement with a later start replaced the stored one whatever its job. The heartbeats of the good targets counted as older from then on. The odd one fell silent, and the endpoints stayed unreachable. The record went to all instances, and a notice of draining from the other writer into the log.

Change: an announcement for a job that the ruleset does not name is stored with incarnation 0, below that of every other target, so that the order that registries, gossip records and departures have anyway keeps it from replacing one; nothing changes on the wire or on disk. If a target of another rank has the endpoint, it is refused with a typed error (409). A target whose job is named ranks by its own start with its next heartbeat, so that targets which announced themselves before the first configuration serve from that configuration on. A target that is stored already keeps its rank while its job is not named. A notice of draining at incarnation 0 would bind no instance that knows the job, and is not acknowledged. In the steerer such a target takes no label from another. Without label steering targets are listed before a service refers to them, and there every job counts as named.

--- a/announcer/registry.go
+++ b/announcer/registry.go
@@ -60,6 +60,7 @@
 	expiredKeys    []string                       // see TakeExpiredKeys
 	revision       uint64
 	changeCallback func(t Target)
+	namesJob       func(job string) bool
 }
 
 // localTarget is the additional state of a target that announces itself to this instance or
@@ -81,6 +82,12 @@
 	return func(r *Registry) { r.changeCallback = f }
 }
 
+// WithNamedJobs sets the function that reports whether the configuration names a job. By default
+// every job counts as named.
+func WithNamedJobs(names func(job string) bool) Option {
+	return func(r *Registry) { r.namesJob = names }
+}
+
 // NewRegistry returns an empty registry of the instance self.
 func NewRegistry(self string, opts ...Option) *Registry {
 	r := &Registry{
@@ -88,6 +95,7 @@
 		targets:        make(map[netip.AddrPort]*Target),
 		localTargets:   make(map[netip.AddrPort]localTarget),
 		changeCallback: func(Target) {},
+		namesJob:       func(string) bool { return true },
 	}
 	for _, o := range opts {
 		o(r)
@@ -123,16 +131,30 @@
 
 // HandleAnnouncement processes an announcement that a target sent to this instance. If the
 // announcement changes anything for other instances, this instance publishes it and becomes the
-// monitor of the target. An announcement older than the stored one is ignored. For an invalid
-// one, HandleAnnouncement returns a *FieldError.
+// monitor of the target. An announcement older than the stored one is ignored. The error is a
+// *FieldError for an invalid announcement, or an *UnnamedJobError.
 func (r *Registry) HandleAnnouncement(now time.Duration, a Announcement, p Publisher) error {
 	if err := a.Validate(); err != nil {
 		return err
 	}
 	old := r.targets[a.Endpoint]
+	a, err := r.assignRank(a, old)
+	if err != nil {
+		return err
+	}
 	if old != nil && isOlder(a, old.Announcement) {
 		return nil
 	}
+	r.acceptAnnouncement(now, a, old, p)
+	if a.Incarnation == unnamedIncarnation && a.State == Draining {
+		return newUnnamedJobError(a)
+	}
+	return nil
+}
+
+// acceptAnnouncement stores an announcement that is no older than old, the target as known
+// before, or nil.
+func (r *Registry) acceptAnnouncement(now time.Duration, a Announcement, old *Target, p Publisher) {
 	l := r.localTargets[a.Endpoint]
 	l.lastHeartbeat = now
 	if r.needsPublishing(now, a, old, l) {
@@ -144,14 +166,13 @@
 		old.LastSeen = now
 	}
 	r.localTargets[a.Endpoint] = l
-	return nil
 }
 
 // isOlder reports whether a is older than b. A target with an identity stays Deregistered for
 // the rest of its incarnation: an announcement in another state that still arrives was sent
 // before the target ended.
 func isOlder(a, b Announcement) bool {
-	if b.State == Deregistered && b.Identity != 0 && a.Incarnation == b.Incarnation && a.State != Deregistered {
+	if b.State == Deregistered && b.Identity != 0 && a.Identity == b.Identity && a.Incarnation == b.Incarnation && a.State != Deregistered {
 		return true
 	}
 	if a.Incarnation != b.Incarnation {
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -26,8 +26,9 @@
 }
 
 // Announce processes an announcement of a target. If the target leaves and Announce returns
-// nil, the departure is durable. The error is an *announcer.FieldError, a
-// *DepartureIgnoredError, a *DepartureNotDurableError or a *ClosedError.
+// nil, the departure is durable. The error is an *announcer.FieldError, an
+// *announcer.UnnamedJobError, a *DepartureIgnoredError, a *DepartureNotDurableError or a
+// *ClosedError.
 func (c *Controller) Announce(ctx context.Context, a announcer.Announcement) error {
 	var err error
 	var committed <-chan bool
@@ -46,6 +47,16 @@
 	return c.awaitDepartureCommit(ctx, committed)
 }
 
+// namesJob reports whether the ruleset names a job. Without label steering, targets may announce
+// themselves before a service refers to their job, and every job counts as named.
+func (c *Controller) namesJob(job string) bool {
+	if !c.settings.LabelSteering {
+		return true
+	}
+	rules := c.stateMachine.Config().Ruleset
+	return rules != nil && rules.HasPool(job)
+}
+
 // ClusterState returns the present control state. The error is a *ClosedError.
 func (c *Controller) ClusterState(ctx context.Context) (ClusterState, error) {
 	var s ClusterState
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -228,7 +228,7 @@
 		o(c)
 	}
 	c.lastUptime = clock.Uptime()
-	c.registry = announcer.NewRegistry(settings.Self.Name, announcer.WithChangeCallback(c.logTarget))
+	c.registry = announcer.NewRegistry(settings.Self.Name, announcer.WithChangeCallback(c.logTarget), announcer.WithNamedJobs(c.namesJob))
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	incarnation := uint64(c.startTime.UnixMilli())
 	c.gossip = gossiper.New(settings.Self, incarnation, gossiper.WithSeeds(settings.Seeds...),
--- a/planner/ruleset.go
+++ b/planner/ruleset.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -67,6 +68,11 @@
 	Source []byte `cbor:"source"`
 }
 
+// HasPool reports whether the ruleset names a pool.
+func (r *Ruleset) HasPool(name string) bool {
+	return slices.ContainsFunc(r.Pools, func(p Pool) bool { return p.Name == name })
+}
+
 // Limits of a ruleset.
 const (
 	MaxRoutes      = 1 << 14
--- a/server/steerer_view.go
+++ b/server/steerer_view.go
@@ -25,6 +25,9 @@
 	}
 	targets := make([]steerer.Target, 0, len(cluster.Targets))
 	for _, t := range cluster.Targets {
+		if t.JobUnnamed() && !ruleset.HasPool(t.Job) {
+			continue // it has no flows, and takes no label from a target that may have some
+		}
 		target := steerer.Target{
 			Identity: t.Identity, Incarnation: t.Incarnation, Endpoint: t.Endpoint, DataCentre: t.DataCentre,
 			Pool: t.Job, Slots: t.Slots, AcceptsNewFlows: acceptsNewWork(cluster, t), Deregistered: t.State == announcer.Deregistered, LastSeen: t.LastSeen,
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -224,6 +224,20 @@
 	is.Equal(v.AcceptingTargetCount(), 1)
 }
 
+// A target may be taken for ended while it still drains. Its flows must stay where they are.
+func TestFlowsOfADeregisteredTargetAreForwarded(t *testing.T) {
+	is := is.New(t)
+	s := newSteerer(view(1, target(7, "menus")))
+	is.Equal(s.Decide(0, synPacket(1, menu, 0)).Action, Forward)
+	ended := target(7, "menus")
+	ended.AcceptsNewFlows, ended.Deregistered = false, true
+	s.SetView(view(2, ended))
+	decision := s.Decide(0, Packet{Flow: flow(1, menu), Label: ended.Label(), PayloadSize: 100})
+	is.Equal(decision.Action, Forward)
+	is.Equal(decision.Target.Identity, ended.Identity)
+	is.Equal(s.Decide(0, synPacket(2, menu, 0)).Action, Reset) // it gets no new flow
+}
+
 func TestRouteWeights(t *testing.T) {
 	is := is.New(t)
 	routes := []Route{{Address: menu, Timeout: time.Second, Shares: []Share{{"menus", 90}, {"packs", 10}, {"none", 0}}}}
