--- a/controller/departures.go
+++ b/controller/departures.go
@@ -96,9 +96,10 @@
 		}
 		knowsTargets = c.knowsTargets()
 	})
+	if !ok { // the control loop may still set the outcome
+		return announcer.UnknownTarget, &ClosedError{}
+	}
 	switch {
-	case !ok:
-		return outcome, &ClosedError{}
 	case outcome == announcer.UnknownTarget && !knowsTargets:
 		return outcome, &NotCaughtUpError{}
 	case err != nil:
