controller: a call that came from another instance is forwarded to the leader only

Cause: a storage instance that is no voter and follows no leader forwarded a call for the leader to the nearest storage instance. That one, in the same data centre and in the same state, forwarded it back. Each call circulated until its caller gave up, 2 to 5 s later, each hop holding a call on either side; only processor time bounded how many there were. The two are nearest to each other, and the other data centres have voters, which answer: hence only those two.

Change: a call is forwarded to an instance that may know the leader only where it originates. What came from another instance goes to the leader that this one follows, or is refused at once. A chain of followed leaders has ever later terms, and so ends.

--- a/controller/calls.go
+++ b/controller/calls.go
@@ -89,15 +89,25 @@
 // the caller has to resend the command with the same intent or plan. The error is a
 // *ClosedError.
 func (c *Controller) Submit(ctx context.Context, cmd planner.Command) (planner.Result, error) {
+	return c.submit(ctx, cmd, c.forwardAddress)
+}
+
+// SubmitForwarded is Submit for a command that another instance has forwarded. It is forwarded
+// again only to the leader.
+func (c *Controller) SubmitForwarded(ctx context.Context, cmd planner.Command) (planner.Result, error) {
+	return c.submit(ctx, cmd, c.leaderAddress)
+}
+
+func (c *Controller) submit(ctx context.Context, cmd planner.Command, next addressFunc) (planner.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	result := make(chan planner.Result, 1)
-	var leader string
-	if !c.runInLoop(ctx, func() { leader = c.proposeOrFindLeader(cmd, result) }) {
+	var to string
+	if !c.runInLoop(ctx, func() { to = c.proposeOrForward(cmd, next, result) }) {
 		return planner.Result{}, &ClosedError{}
 	}
-	if leader != "" {
-		return c.forwardToLeader(ctx, leader, cmd)
+	if to != "" {
+		return c.forward(ctx, to, cmd)
 	}
 	select {
 	case a := <-result:
@@ -107,14 +117,14 @@
 	}
 }
 
-// proposeOrFindLeader proposes the command if this instance leads. Otherwise it returns the
-// address to forward the command to, or sends a refusal to result if no leader is known.
-func (c *Controller) proposeOrFindLeader(cmd planner.Command, result chan planner.Result) string {
+// proposeOrForward proposes the command if this instance leads. Otherwise it returns the address
+// to forward the command to, or sends a refusal to result if there is none.
+func (c *Controller) proposeOrForward(cmd planner.Command, next addressFunc, result chan planner.Result) string {
 	if c.voter != nil && c.voterErr == nil && c.voter.HoldsLease(c.now()) {
 		c.proposeWithResult(cmd, result)
 		return ""
 	}
-	if to, ok := c.leaderAddress(); ok {
+	if to, ok := next(); ok {
 		return to
 	}
 	result <- planner.Result{Refusal: &planner.Refusal{Code: planner.CodeNoLeader}}
@@ -163,16 +173,32 @@
 	return out
 }
 
-// leaderAddress returns the RPC address of the leader. For an instance that is no voter, the
-// address is that of an instance that knows the leader.
+// addressFunc returns the RPC address of the instance to forward a call for the leader to. It
+// returns false if there is none.
+type addressFunc func() (string, bool)
+
+// leaderAddress returns the address of the leader that this voter or learner follows. A call that
+// is forwarded by it alone visits leaders of ever later terms, and so ends.
 func (c *Controller) leaderAddress() (string, bool) {
-	if c.voter != nil && c.voterErr == nil {
-		if leader := c.voter.Leader(); leader != "" && leader != c.voter.ID() {
-			return c.rpcAddressOf(leader)
-		}
-		if c.voter.Membership().IsVoter(c.voter.ID()) {
-			return "", false
-		}
+	if c.voter == nil || c.voterErr != nil {
+		return "", false
+	}
+	leader := c.voter.Leader()
+	if leader == "" || leader == c.voter.ID() {
+		return "", false
+	}
+	return c.rpcAddressOf(leader)
+}
+
+// forwardAddress returns the address of the leader or, if this instance is no voter and follows no
+// leader, that of an instance that may know the leader. Calls that came from another instance
+// must not be forwarded to the latter: two such instances would forward them to each other.
+func (c *Controller) forwardAddress() (string, bool) {
+	if to, ok := c.leaderAddress(); ok {
+		return to, true
+	}
+	if c.voter != nil && c.voterErr == nil && c.voter.Membership().IsVoter(c.voter.ID()) {
+		return "", false
 	}
 	if c.settings.VoterCount > 0 {
 		return c.nearestStorageAddress("")
@@ -185,7 +211,7 @@
 	return "", false
 }
 
-func (c *Controller) forwardToLeader(ctx context.Context, to string, cmd planner.Command) (planner.Result, error) {
+func (c *Controller) forward(ctx context.Context, to string, cmd planner.Command) (planner.Result, error) {
 	a, err := c.transport.Propose(ctx, to, cmd)
 	if err != nil {
 		c.log.Warn("forward-failed", "to", to, "error", err)
--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -104,7 +104,7 @@
 
 func (t testTransport) Propose(ctx context.Context, to string, cmd planner.Command) (*planner.Result, error) {
 	if c := t.controllerAt(to); c != nil {
-		a, err := c.Submit(ctx, cmd)
+		a, err := c.SubmitForwarded(ctx, cmd)
 		return &a, err
 	}
 	return nil, &ClosedError{}
@@ -112,7 +112,7 @@
 
 func (t testTransport) Read(ctx context.Context, to string) (*messenger.ReadReply, error) {
 	if c := t.controllerAt(to); c != nil {
-		return c.ReadIndex(ctx)
+		return c.ReadIndexForwarded(ctx)
 	}
 	return nil, &ClosedError{}
 }
--- a/controller/read.go
+++ b/controller/read.go
@@ -64,16 +64,26 @@
 // a majority, in a round that begins after the call. The error is an *UnconfirmedReadError or
 // a *ClosedError.
 func (c *Controller) ReadIndex(ctx context.Context) (*messenger.ReadReply, error) {
+	return c.readIndex(ctx, c.forwardAddress)
+}
+
+// ReadIndexForwarded is ReadIndex for a call that another instance has forwarded. It is forwarded
+// again only to the leader.
+func (c *Controller) ReadIndexForwarded(ctx context.Context) (*messenger.ReadReply, error) {
+	return c.readIndex(ctx, c.leaderAddress)
+}
+
+func (c *Controller) readIndex(ctx context.Context, next addressFunc) (*messenger.ReadReply, error) {
 	replies := make(chan messenger.ReadReply, 1)
-	var leader, reason string
-	if !c.runInLoop(ctx, func() { leader, reason = c.startRead(replies) }) {
+	var to, reason string
+	if !c.runInLoop(ctx, func() { to, reason = c.startRead(next, replies) }) {
 		return nil, &ClosedError{}
 	}
 	if reason != "" {
 		return nil, &UnconfirmedReadError{Reason: reason}
 	}
-	if leader != "" {
-		reply, err := c.transport.Read(ctx, leader)
+	if to != "" {
+		reply, err := c.transport.Read(ctx, to)
 		if err != nil {
 			return nil, &UnconfirmedReadError{Reason: err.Error()}
 		}
@@ -92,7 +102,7 @@
 
 // startRead starts a read if this instance leads. Otherwise it returns the address to forward
 // the read to, or the reason why there is none.
-func (c *Controller) startRead(replies chan messenger.ReadReply) (leader, reason string) {
+func (c *Controller) startRead(next addressFunc, replies chan messenger.ReadReply) (to, reason string) {
 	if c.voter != nil && c.voterErr == nil && c.voter.Role() == voter.Leader {
 		id, err := c.voter.ReadIndex(c.now())
 		if err != nil {
@@ -101,7 +111,7 @@
 		c.pendingReads[id] = replies
 		return "", ""
 	}
-	if to, ok := c.leaderAddress(); ok {
+	if to, ok := next(); ok {
 		return to, ""
 	}
 	return "", "no leader is known"
--- a/server/peer.go
+++ b/server/peer.go
@@ -57,13 +57,13 @@
 
 // Propose submits a command to the replicated log on behalf of another instance.
 func (p *peerService) Propose(ctx context.Context, c *planner.Command) (*planner.Result, error) {
-	result, err := p.controller.Submit(ctx, *c)
+	result, err := p.controller.SubmitForwarded(ctx, *c)
 	return &result, err
 }
 
 // Read returns a read index of the replicated log.
 func (p *peerService) Read(ctx context.Context, _ *messenger.Empty) (*messenger.ReadReply, error) {
-	return p.controller.ReadIndex(ctx)
+	return p.controller.ReadIndexForwarded(ctx)
 }
 
 // Records returns all gossip records that this instance has of instances and targets.
