announcer: within an incarnation the states of a target only advance

Cause: announcements of an incarnation were ordered by their sequence alone. Another writer that repeats the entry of a target with a counter of its own is ahead of the target for good, so that the target's notice that it drains counted as older and was ignored, or was undone by the next copy.

Change: a target that carries an identity drains once and then ends; so an announcement or record is older if its state is earlier in that order, and the sequence decides between equal states only. What is published has a sequence above that of the last record, so that it replaces it everywhere. A departure in the log applies to a ready record of its incarnation whatever the sequence.

--- a/announcer/registry.go
+++ b/announcer/registry.go
@@ -157,7 +157,13 @@
 func (r *Registry) acceptAnnouncement(now time.Duration, a Announcement, old *Target, p Publisher) {
 	l := r.localTargets[a.Endpoint]
 	l.lastHeartbeat = now
+	if old != nil && old.Incarnation == a.Incarnation {
+		a.Sequence = max(a.Sequence, old.Sequence)
+	}
 	if r.needsPublishing(now, a, old, l) {
+		if old != nil && old.Incarnation == a.Incarnation {
+			a.Sequence = max(a.Sequence, old.publishedSequence+1)
+		}
 		l = localTarget{lastHeartbeat: now, publishedAt: now}
 		r.setTarget(now, a, r.self, false)
 		p.Broadcast(r.newRecord(a, gossiper.LivenessSelfReported))
@@ -168,19 +174,30 @@
 	r.localTargets[a.Endpoint] = l
 }
 
-// isOlder reports whether a is older than b. A target with an identity stays Deregistered for
-// the rest of its incarnation: an announcement in another state that still arrives was sent
-// before the target ended.
+// isOlder reports whether a is older than b. A target with an identity never accepts new work again
+// in an incarnation that has said that it leaves: an announcement with an earlier state was sent
+// before, whatever its sequence.
 func isOlder(a, b Announcement) bool {
-	if b.State == Deregistered && b.Identity != 0 && a.Identity == b.Identity && a.Incarnation == b.Incarnation && a.State != Deregistered {
-		return true
-	}
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation < b.Incarnation
 	}
+	if a.Identity != 0 && a.Identity == b.Identity && (a.Leaves() || b.Leaves()) {
+		return stateOrder(a.State) < stateOrder(b.State)
+	}
 	return a.Sequence < b.Sequence
 }
 
+// stateOrder returns the place of a state in the life of an incarnation.
+func stateOrder(s State) int {
+	switch s {
+	case Draining:
+		return 1
+	case Deregistered:
+		return 2
+	}
+	return 0
+}
+
 // needsPublishing reports whether an announcement changes anything for other instances. old is
 // the target as known before, or nil. A change of the load alone is published only if it exceeds
 // significantLoadChange, and at most every LoadRepublishInterval.
--- a/controller/departures_test.go
+++ b/controller/departures_test.go
@@ -235,3 +235,34 @@
 	is.NoErr(c.Announce(context.Background(), serving))
 	network.stop(t, 0)
 }
+
+// Another writer repeats the entry of a draining target as ready, with higher counters, at every
+// instance. The target must get no new work at any.
+func TestDrainingHoldsBesideACopiedEntry(t *testing.T) {
+	is := is.New(t)
+	network := newTestNetwork(t)
+	folders := network.startThree(t)
+	is.NoErr(network.controllerAt(peerAddress(0)).Announce(context.Background(), servingTarget(1)))
+	endpoint := servingTarget(1).Endpoint
+	copied := servingTarget(1)
+	copied.Sequence = 1000
+	announceCopies := func() {
+		for n := range folders {
+			copied.Sequence++
+			is.NoErr(network.controllerAt(peerAddress(n)).Announce(context.Background(), copied))
+		}
+	}
+	announceCopies()
+	announceDeparture(t, network.controllerAt(peerAddress(1)), 1, announcer.Draining)
+	for range 5 {
+		announceCopies()
+		for n := range folders {
+			eventually(t, "no instance offers the draining target", func() bool {
+				return !acceptsNewWork(network.controllerAt(peerAddress(n)), endpoint)
+			})
+		}
+	}
+	for n := range folders {
+		network.stop(t, n)
+	}
+}
