--- a/controller/controller.go
+++ b/controller/controller.go
@@ -113,7 +113,7 @@
 	journal          *journaler.Journal
 	voter            *voter.Voter
 	voterErr         error         // why the voter is stopped, or why the data folder could not be opened
-	dataFolderEmpty  bool          // the data folder had no identity at the start and has not been opened yet
+	dataFolderEmpty  bool          // the data folder was unused at the start and has not been opened yet
 	nextFolderOpen   time.Duration // earliest next attempt to open the data folder after a failure
 	pendingProposals map[uint64]pendingProposal
 	pendingReads     map[uint64]chan messenger.ReadReply // by the read number of the voter
@@ -233,7 +233,7 @@
 	incarnation := uint64(c.startTime.UnixMilli())
 	c.gossip = gossiper.New(settings.Self, incarnation, gossiper.WithSeeds(settings.Seeds...),
 		gossiper.WithRandom(newRandom(settings.Self.Name, c.startTime, gossipStream)))
-	c.dataFolderEmpty = settings.DataFolder != "" && journaler.IsEmptyFolder(settings.DataFolder)
+	c.dataFolderEmpty = settings.DataFolder != "" && isUnusedFolder(settings.DataFolder)
 	if settings.DataFolder != "" && !c.dataFolderEmpty {
 		if err := c.openJournal(""); err != nil && !isDiskFault(err) {
 			c.cancel()
--- a/controller/data_folder.go
+++ b/controller/data_folder.go
@@ -19,6 +19,13 @@
 	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EIO)
 }
 
+// isUnusedFolder reports whether no voter has run on a data folder. The first start of a voter of a
+// new deployment may have ended between the identity and the first snapshot. It is begun anew then:
+// without a snapshot the membership is empty, and no leader would ever come.
+func isUnusedFolder(folder string) bool {
+	return journaler.IsEmptyFolder(folder) || journaler.HoldsOnlyIdentity(folder, bootstrapIdentity)
+}
+
 // openDataFolder opens the data folder if it is not open: at the first start, and again after a
 // failure, when the voter starts from the contents of the disk as after a restart of the process.
 //
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -94,6 +94,20 @@
 	return os.IsNotExist(err)
 }
 
+// HoldsOnlyIdentity reports whether a data folder holds the given identity and neither a snapshot
+// nor a log record: its voter has never sent a message.
+func HoldsOnlyIdentity(folder, identity string) bool {
+	b, err := os.ReadFile(filepath.Join(folder, IdentityFile))
+	if err != nil || string(b) != identity {
+		return false
+	}
+	if _, err := os.Stat(filepath.Join(folder, SnapshotFile)); !os.IsNotExist(err) {
+		return false
+	}
+	log, err := os.Stat(filepath.Join(folder, LogFile))
+	return err == nil && log.Size() == 0
+}
+
 // Open reads the data folder, creating it if needed, and returns the stored state and a
 // journal that continues from it. It returns a *CorruptionError when the content is not
 // consistent.
