announcer: an end or a notice of draining of an unnamed job is never acknowledged

Change: a target of an unnamed job does not count as draining for a deregistration, and a notice of draining for an unnamed job is refused whether it was stored or not.

--- a/announcer/deregister.go
+++ b/announcer/deregister.go
@@ -14,7 +14,7 @@
 // The outcomes.
 const (
 	UnknownTarget DeregistrationOutcome = iota // no target with the identity is known
-	NotDraining                                // a target with the identity is known, and none has said that it drains
+	NotDraining                                // a target with the identity is known, and none is known to drain
 	Ended                                      // the target has ended, because of this call or of an earlier one
 	deregistrationOutcomeCount
 )
@@ -46,7 +46,8 @@
 //
 // A deregistration carries no incarnation, and may arrive after the target has started again
 // under its identity. A target drains before it ends, so that an incarnation that accepts new
-// work has not sent it. If no incarnation drains, nothing changes.
+// work has not sent it. If no incarnation drains, nothing changes. A target whose job is not named
+// does not count as draining, because its end would bind no instance that knows the job.
 func (r *Registry) Deregister(now time.Duration, identity uint64, p Publisher) (netip.AddrPort, DeregistrationOutcome) {
 	t, outcome := r.findDeregistered(identity)
 	if t == nil {
@@ -71,10 +72,10 @@
 	for _, t := range r.targets {
 		switch {
 		case t.Identity != identity:
+		case t.JobUnnamed() || !t.Leaves():
+			outcome = NotDraining
 		case t.State == Deregistered:
 			ended = t
-		case t.State != Draining:
-			outcome = NotDraining
 		case draining == nil || t.Incarnation < draining.Incarnation:
 			draining = t
 		}
--- a/announcer/registry.go
+++ b/announcer/registry.go
@@ -142,11 +142,10 @@
 	if err != nil {
 		return err
 	}
-	if old != nil && isOlder(a, old.Announcement) {
-		return nil
+	if old == nil || !isOlder(a, old.Announcement) {
+		r.acceptAnnouncement(now, a, old, p)
 	}
-	r.acceptAnnouncement(now, a, old, p)
-	if a.Incarnation == unnamedIncarnation && a.State == Draining {
+	if a.Incarnation == unnamedIncarnation && a.Leaves() {
 		return newUnnamedJobError(a)
 	}
 	return nil
@@ -189,13 +188,8 @@
 
 // stateOrder returns the place of a state in the life of an incarnation.
 func stateOrder(s State) int {
-	switch s {
-	case Draining:
-		return 1
-	case Deregistered:
-		return 2
-	}
-	return 0
+	order := [stateCount]int{Draining: 1, Deregistered: 2}
+	return order[s]
 }
 
 // needsPublishing reports whether an announcement changes anything for other instances. old is
--- a/announcer/unnamed_job_test.go
+++ b/announcer/unnamed_job_test.go
@@ -165,4 +165,6 @@
 	packs.State, packs.Sequence = Draining, 2
 	is.True(r.HandleAnnouncement(second, packs, s) != nil)
 	is.True(!onlyTarget(r).AcceptsNewWork(second))
+	_, outcome := r.Deregister(5*second, 7, s)
+	is.Equal(outcome, NotDraining)
 }
