soaker: targets that start again under their id, calls of theirs that arrive late, and another writer

What the soak could not draw: a call of a target that arrives after the target has started again, and an entry of another writer that reads well but for one thing. A target now drains, deregisters and starts again under its id at its address, and its last calls arrive once more up to four seconds later. Another writer sends entries with one thing wrong: an unnamed service, a field missing or of another type, an odd state, a torn body; under the id of a live target or its own, also before the first configuration. At the end every live target must have got a flow within five seconds. The report counts both.

--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -40,7 +40,7 @@
 	instances := s.allInstances()
 	i := instances[s.random.IntN(len(instances))]
 	duration := time.Duration(1000+s.random.IntN(4000)) * time.Millisecond
-	switch s.random.IntN(14) {
+	switch s.random.IntN(20) {
 	case 0, 1:
 		s.putConfiguration()
 	case 2:
@@ -71,6 +71,8 @@
 	case 13:
 		offset := time.Duration(s.random.IntN(20)-10) * time.Second
 		s.runUnplannedFault(func() { s.restartWithClockOffset(i, offset) })
+	default:
+		s.injectTargetFault()
 	}
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -52,6 +52,8 @@
 	Requests                   int      // sent by callers
 	AnsweredRequests           int
 	RefusedRequests            int // whose flow was reset before it opened
+	RestartedTargets           int // started again under their identity
+	OddEntries                 int // sent by another writer
 	AcknowledgedConfigurations int
 }
 
@@ -75,8 +77,11 @@
 	activeFaults int       // unplanned ones
 	faultLog     []string
 	lastWipeAt   time.Time // of wipeDisk, which alone uses it
-	done         chan struct{}
-	goroutines   sync.WaitGroup
+	// restartedTargets have started again under their identity.
+	restartedTargets []*target
+	oddEntries       int // sent by another writer
+	done             chan struct{}
+	goroutines       sync.WaitGroup
 }
 
 // Names of the target pools.
@@ -116,6 +121,7 @@
 	s.endFaults()
 	s.silenceConnections()
 	s.sleep(recoveryTime)
+	s.checkTargetsGetWork()
 	s.checkFinalState()
 	return s.report(), nil
 }
@@ -254,10 +260,14 @@
 	}()
 }
 
-// startBackgroundWork sends the first configuration and starts everything that runs
+// startBackgroundWork sends some odd entries and the first configuration, and starts everything that runs
 // throughout the test: readiness probes, configuration reads, flows to extraAddress, and
 // the requests of all callers.
 func (s *Soak) startBackgroundWork() {
+	s.sleep(time.Second)
+	for range 3 {
+		s.sendOddEntry()
+	}
 	s.putConfiguration()
 	s.runPeriodically(probeInterval, s.fabric.probeInstances)
 	s.runPeriodically(400*time.Millisecond, s.checkConfigurationRead)
@@ -385,11 +395,14 @@
 }
 
 func (s *Soak) report() Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.checker.mu.Lock()
 	defer s.checker.mu.Unlock()
 	return Report{
 		Seed: s.settings.Seed, Violations: s.checker.violations, Faults: s.faultLog,
-		Requests: s.checker.requests, AnsweredRequests: s.checker.answeredRequests, RefusedRequests: s.checker.refusedRequests, AcknowledgedConfigurations: len(s.checker.acknowledgedAt),
+		Requests: s.checker.requests, AnsweredRequests: s.checker.answeredRequests, RefusedRequests: s.checker.refusedRequests,
+		RestartedTargets: len(s.restartedTargets), OddEntries: s.oddEntries, AcknowledgedConfigurations: len(s.checker.acknowledgedAt),
 	}
 }
 
@@ -402,10 +415,8 @@
 		i.stop(syscall.SIGKILL)
 		i.proxy.close()
 	}
-	for _, targets := range s.targetsByPool {
-		for _, t := range targets {
-			t.stop(true)
-		}
+	for _, t := range s.liveTargets() {
+		t.stop(true)
 	}
 	for _, c := range s.callers {
 		c.close()
--- a/soaker/target.go
+++ b/soaker/target.go
@@ -41,6 +41,7 @@
 	draining            bool
 	drainAcknowledgedAt time.Time                            // first acknowledged heartbeat with state Draining; zero before
 	responseByCaller    map[netip.AddrPort]*platform.Segment // of the open flows; without Data until the request has run
+	lastFlowAt          time.Time                            // when a flow was last opened
 	done                chan struct{}
 	goroutines          sync.WaitGroup
 }
@@ -53,7 +54,7 @@
 	}
 	t := &target{
 		identity: identity, pool: pool, dataCentre: dataCentre, incarnation: time.Now().UnixMilli(), socket: socket, endpoint: endpoint, operatorAddresses: operatorAddresses,
-		checker: c, responseByCaller: make(map[netip.AddrPort]*platform.Segment), done: make(chan struct{}),
+		checker: c, responseByCaller: make(map[netip.AddrPort]*platform.Segment), lastFlowAt: time.Now(), done: make(chan struct{}),
 	}
 	t.goroutines.Add(2)
 	go t.sendHeartbeats()
@@ -81,17 +82,11 @@
 	t.mu.Lock()
 	t.lastSequence++
 	draining, state := t.draining, announcer.Serving
+	t.mu.Unlock()
 	if draining {
 		state = announcer.Draining
 	}
-	body, err := platform.EncodeHeartbeat(announcer.Announcement{
-		Endpoint: t.endpoint, Job: t.pool, DataCentre: t.dataCentre, Slots: slotsPerTarget, State: state, Sequence: t.lastSequence, Incarnation: uint64(t.incarnation),
-	})
-	t.mu.Unlock()
-	if err != nil {
-		panic(err) // a struct of plain fields always encodes
-	}
-	acknowledged := callUntilAcknowledged(t.operatorAddresses(), http.MethodPut, platform.TargetPath(t.identity), string(body))
+	acknowledged := callUntilAcknowledged(t.operatorAddresses(), http.MethodPut, platform.TargetPath(t.identity), t.encodeHeartbeat(state))
 	if draining && acknowledged {
 		t.mu.Lock()
 		if t.drainAcknowledgedAt.IsZero() {
@@ -101,6 +96,24 @@
 	}
 }
 
+// announcement returns what the target announces in a state.
+func (t *target) announcement(state announcer.State) announcer.Announcement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return announcer.Announcement{
+		Endpoint: t.endpoint, Job: t.pool, DataCentre: t.dataCentre, Slots: slotsPerTarget, State: state, Sequence: t.lastSequence, Incarnation: uint64(t.incarnation),
+	}
+}
+
+// encodeHeartbeat returns the body of a heartbeat of the target in a state.
+func (t *target) encodeHeartbeat(state announcer.State) string {
+	body, err := platform.EncodeHeartbeat(t.announcement(state))
+	if err != nil {
+		panic(err) // a struct of plain fields always encodes
+	}
+	return string(body)
+}
+
 // drain changes the state of the target to Draining and sends a heartbeat with it.
 func (t *target) drain() {
 	t.mu.Lock()
@@ -146,6 +159,7 @@
 	case segment.SYN:
 		if t.responseByCaller[segment.From] == nil {
 			t.checker.checkFlowOpened(t, segment)
+			t.lastFlowAt = time.Now()
 			t.responseByCaller[segment.From] = &platform.Segment{}
 		}
 		reply.SYN, reply.SYNACK = true, true
