--- a/controller/catch_up_test.go
+++ b/controller/catch_up_test.go
@@ -74,9 +74,7 @@
 		reply, err := empty.Records(context.Background())
 		return err == nil && !reply.Partial
 	})
-	for n := range 3 {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
 
 // When all storage instances are catching up, as at the first start of a deployment, an
--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -204,6 +204,16 @@
 	}
 }
 
+// stopAll stops the storage instances that are running.
+func (network *testNetwork) stopAll(t *testing.T) {
+	t.Helper()
+	for n := range 3 {
+		if network.controllerAt(peerAddress(n)) != nil {
+			network.stop(t, n)
+		}
+	}
+}
+
 // eventually waits until holds returns true, for ten seconds at most.
 func eventually(t *testing.T, expected string, holds func() bool) {
 	t.Helper()
@@ -323,9 +333,7 @@
 			eventually(t, "data folder is opened", func() bool { return identity() != "" })
 			is.True(identity() != "10.0.0.1#"+bootstrapIdentity)
 			eventually(t, "instance reads the ruleset", func() bool { return readRulesetVersion(c) == 1 })
-			for n := range folders {
-				network.stop(t, n)
-			}
+			network.stopAll(t)
 		})
 	}
 }
@@ -345,7 +353,5 @@
 		return ok
 	})
 	eventually(t, "instance reads the ruleset", func() bool { return readRulesetVersion(c) == 2 })
-	for n := range 3 {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
--- a/controller/data_folder_test.go
+++ b/controller/data_folder_test.go
@@ -66,9 +66,7 @@
 	is.NoErr(os.Remove(obstacle))
 	eventually(t, "the voter runs", func() bool { return voterRuns(c) })
 	eventually(t, "the instance reads the ruleset", func() bool { return readRulesetVersion(c) == 1 })
-	for n := range folders {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
 
 func TestFirstStartOnFullDisksSucceedsOnceThereIsRoom(t *testing.T) {
@@ -85,9 +83,7 @@
 		disks[n].full.Store(false)
 	}
 	eventually(t, "the first ruleset is accepted", func() bool { return replaceRuleset(network.controllerAt(peerAddress(0)), 1) == nil })
-	for n := range disks {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
 
 func TestInstanceThatStartsOnAFullDiskJoinsOnceThereIsRoom(t *testing.T) {
@@ -102,9 +98,7 @@
 	disk.full.Store(false)
 	eventually(t, "the voter runs", func() bool { return voterRuns(c) })
 	eventually(t, "the instance reads the ruleset", func() bool { return readRulesetVersion(c) == 1 })
-	for n := range folders {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
 
 // The disks of the three voters are full one after another, twice, never two at once, while
@@ -137,7 +131,5 @@
 		c := network.controllerAt(peerAddress(n))
 		eventually(t, "the newest ruleset is read", func() bool { return readRulesetVersion(c) == version })
 	}
-	for n := range disks {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
--- a/controller/departures_test.go
+++ b/controller/departures_test.go
@@ -109,9 +109,7 @@
 					is.NoErr(err)
 					is.NoErr(os.WriteFile(filepath.Join(after[n], journaler.CacheFile), old, 0o600))
 				}
-				for n := range folders {
-					network.stop(t, n)
-				}
+				network.stopAll(t)
 				if wiped >= 0 {
 					after[wiped] = t.TempDir()
 				}
@@ -127,9 +125,7 @@
 					}
 					return offered
 				})
-				for n := range after {
-					network.stop(t, n)
-				}
+				network.stopAll(t)
 			})
 		}
 	}
@@ -145,9 +141,7 @@
 	eventually(t, "target is cached on the disk", func() bool { return cacheHasTargets(folders[2], 1) })
 	old := copyFolder(t, folders[2])
 	announceDeparture(t, network.controllerAt(peerAddress(0)), 1, announcer.Deregistered)
-	for n := range folders {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 	alone := network.start(t, 2, old, false)
 	eventually(t, "instance no longer waits for the other voters", func() bool {
 		known := false
@@ -202,9 +196,7 @@
 	stale := servingTarget(1) // from an instance that was isolated
 	is.NoErr(c.Announce(context.Background(), stale))
 	is.True(!acceptsNewWork(c, endpoint))
-	for n := range 3 {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
 
 // A later announcement of another writer for the endpoint of a target, with another identity, is
@@ -262,7 +254,5 @@
 			})
 		}
 	}
-	for n := range folders {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
--- a/controller/deregister_test.go
+++ b/controller/deregister_test.go
@@ -44,16 +44,12 @@
 		}
 	}
 	announceAndCheck()
-	for n := range folders {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 	for n := range folders {
 		network.start(t, n, folders[n], false)
 	}
 	announceAndCheck()
-	for n := range folders {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
 
 // The notice that a target drains is in the log, and the instance that the target deregisters
@@ -62,7 +58,7 @@
 func TestDeregistrationWaitsForTheNoticeInTheLog(t *testing.T) {
 	is := is.New(t)
 	network := newTestNetwork(t)
-	folders := network.startThree(t)
+	network.startThree(t)
 	is.NoErr(network.controllerAt(peerAddress(0)).Announce(context.Background(), servingTarget(1)))
 	endpoint := servingTarget(1).Endpoint
 	behind := network.controllerAt(peerAddress(2))
@@ -83,7 +79,5 @@
 		ended = ok && d.Deregistered
 	})
 	is.True(ended)
-	for n := range folders {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
--- a/controller/failures_test.go
+++ b/controller/failures_test.go
@@ -81,9 +81,7 @@
 		is.True(v == 0 || v >= 10) // no ruleset, or none that is older
 		return v >= 10
 	})
-	for n := range 3 {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
 
 // skewedClock is a clock that is off by a constant offset.
--- a/controller/fetch_test.go
+++ b/controller/fetch_test.go
@@ -52,9 +52,7 @@
 	acknowledgedAt := time.Now()
 	eventually(t, "the change is in force", func() bool { return heldRuleset(diskless) == 2 })
 	is.True(time.Since(acknowledgedAt) < inForceLimit)
-	for n := range 3 {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 	is.NoErr(diskless.Close())
 }
 
@@ -72,9 +70,7 @@
 	eventually(t, "the change is in force", func() bool { return heldRuleset(diskless) == 2 })
 	diskless.runInLoop(context.Background(), func() { diskless.applyFetchReply("10.0.0.1", late) })
 	is.Equal(heldRuleset(diskless), uint64(2))
-	for n := range 3 {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 	is.NoErr(diskless.Close())
 }
 
--- a/controller/first_start_test.go
+++ b/controller/first_start_test.go
@@ -97,9 +97,7 @@
 				network := newTestNetwork(t)
 				network.startThreeOn(t, folders, true)
 				is.Equal(len(membershipOf(network.controllerAt(peerAddress(0))).Voters), 3)
-				for n := range folders {
-					network.stop(t, n)
-				}
+				network.stopAll(t)
 			})
 		}
 	}
--- a/controller/fleet_size_test.go
+++ b/controller/fleet_size_test.go
@@ -78,9 +78,7 @@
 	for n := range fleet {
 		network.stopForwarding(t, n)
 	}
-	for n := range folders {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 	for n, folder := range folders {
 		network.start(t, n, folder, false)
 	}
@@ -91,9 +89,7 @@
 	})
 	eventually(t, "it counts only live instances later", func() bool { return state.Load().ForwardingInstances == 1 })
 	network.stopForwarding(t, 0)
-	for n := range folders {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
 
 func TestFleetSizeRecordChecksItself(t *testing.T) {
--- a/controller/forwarding_test.go
+++ b/controller/forwarding_test.go
@@ -71,7 +71,5 @@
 	// Each instance also asks for the configuration by itself, every retryInterval.
 	const ownCalls = instances * calls * 2 * int64(100*time.Millisecond/retryInterval)
 	is.True(forwarded.Load()-before <= 2*calls+ownCalls)
-	for n := range instances {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
--- a/controller/rejoin_test.go
+++ b/controller/rejoin_test.go
@@ -34,7 +34,5 @@
 		reply, err := c.Departures(context.Background())
 		return err == nil && len(reply.Departures) == 1 && reply.Departures[0].Endpoint == leaving.Endpoint
 	})
-	for n := range folders {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
--- a/controller/suspension_test.go
+++ b/controller/suspension_test.go
@@ -51,8 +51,6 @@
 	before := calls.Load()
 	suspended.Add(int64(5 * time.Second))
 	eventually(t, "the records are read again", func() bool { return calls.Load() > before && caughtUp() })
-	for n := range 3 {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 	is.NoErr(c.Close())
 }
--- a/controller/target_cache_test.go
+++ b/controller/target_cache_test.go
@@ -58,9 +58,7 @@
 		}
 		return true
 	})
-	for n := range 3 {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 	path := filepath.Join(folders[2], journaler.CacheFile)
 	content, err := os.ReadFile(path)
 	is.NoErr(err)
@@ -74,7 +72,5 @@
 	truncated := network.start(t, 2, folders[2], false)
 	eventually(t, "third instance learns the targets", func() bool { return countAcceptingTargets(truncated) == 6 })
 	eventually(t, "targets without announcements are unreachable", func() bool { return countAcceptingTargets(truncated) == 0 })
-	for n := range 3 {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
--- a/controller/unnamed_job_test.go
+++ b/controller/unnamed_job_test.go
@@ -63,17 +63,13 @@
 	announceOdd()
 	announceAll()
 	checkOffered()
-	for n := range folders {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 	for n := range folders {
 		network.start(t, n, folders[n], false)
 	}
 	announceAll()
 	checkOffered()
-	for n := range folders {
-		network.stop(t, n)
-	}
+	network.stopAll(t)
 }
 
 // jobsOfTargets returns the number of targets of each job that an instance knows.
