soaker: two heartbeats of a target never carry the same sequence

Fault of the change that gave targets a late call: the sequence was raised and the body made in two steps, so that a notice of draining and the regular heartbeat could carry one sequence. Both happen under one lock again.

--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -260,8 +260,8 @@
 	}()
 }
 
-// startBackgroundWork sends some odd entries and the first configuration, and starts everything that runs
-// throughout the test: readiness probes, configuration reads, flows to extraAddress, and
+// startBackgroundWork sends some odd entries and the first configuration, and starts everything
+// that runs throughout the test: readiness probes, configuration reads, flows to extraAddress, and
 // the requests of all callers.
 func (s *Soak) startBackgroundWork() {
 	s.sleep(time.Second)
--- a/soaker/target.go
+++ b/soaker/target.go
@@ -82,11 +82,12 @@
 	t.mu.Lock()
 	t.lastSequence++
 	draining, state := t.draining, announcer.Serving
-	t.mu.Unlock()
 	if draining {
 		state = announcer.Draining
 	}
-	acknowledged := callUntilAcknowledged(t.operatorAddresses(), http.MethodPut, platform.TargetPath(t.identity), t.encodeHeartbeat(state))
+	body := t.encodeHeartbeat(state)
+	t.mu.Unlock()
+	acknowledged := callUntilAcknowledged(t.operatorAddresses(), http.MethodPut, platform.TargetPath(t.identity), body)
 	if draining && acknowledged {
 		t.mu.Lock()
 		if t.drainAcknowledgedAt.IsZero() {
@@ -96,16 +97,14 @@
 	}
 }
 
-// announcement returns what the target announces in a state.
+// announcement returns what the target announces in a state. The caller holds mu.
 func (t *target) announcement(state announcer.State) announcer.Announcement {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	return announcer.Announcement{
 		Endpoint: t.endpoint, Job: t.pool, DataCentre: t.dataCentre, Slots: slotsPerTarget, State: state, Sequence: t.lastSequence, Incarnation: uint64(t.incarnation),
 	}
 }
 
-// encodeHeartbeat returns the body of a heartbeat of the target in a state.
+// encodeHeartbeat returns the body of a heartbeat of the target in a state. The caller holds mu.
 func (t *target) encodeHeartbeat(state announcer.State) string {
 	body, err := platform.EncodeHeartbeat(t.announcement(state))
 	if err != nil {
--- a/soaker/target_faults.go
+++ b/soaker/target_faults.go
@@ -59,7 +59,10 @@
 // repeatCalls sends the calls with which a target has left once more, each to any storage instance.
 func (t *target) repeatCalls() {
 	for _, state := range []announcer.State{announcer.Serving, announcer.Draining} {
-		callHTTP(t.operatorAddresses()[0], http.MethodPut, platform.TargetPath(t.identity), t.encodeHeartbeat(state))
+		t.mu.Lock()
+		body := t.encodeHeartbeat(state)
+		t.mu.Unlock()
+		callHTTP(t.operatorAddresses()[0], http.MethodPut, platform.TargetPath(t.identity), body)
 	}
 	callHTTP(t.operatorAddresses()[0], http.MethodDelete, platform.TargetPath(t.identity), "")
 }
@@ -83,7 +86,9 @@
 func (s *Soak) sendOddEntry() {
 	targets := slices.Concat(s.targetsByPool[menuPool], s.targetsByPool[packPool])
 	t := targets[s.random.IntN(len(targets))]
+	t.mu.Lock()
 	odd := t.announcement(announcer.Serving)
+	t.mu.Unlock()
 	odd.Incarnation += 1 + s.random.Uint64N(1<<20)
 	odd.Sequence = s.random.Uint64N(1 << 20)
 	body, err := platform.EncodeHeartbeat(odd)
