steerer: no new flows for a pool with the weight 0

Cause: the draw of a pool returned the first pool of the route when there was none to draw. That could not occur until evacuations left pools out of the total weight. The draw now says that there is none, and the flow is refused with the reason, or held while targets may be missing, as for any route without a target. One predicate decides which pools get new flows, for the total and for the draw.

On related paths: a route with one pool of weight 0, or with no pool (which ended the process), and NewView, which added the weights of a route to those of an earlier view of the same routes.

TestPoolWithoutWeightGetsNoFlows and TestViewsOfTheSameRoutesKeepItsWeights failed before.

--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -331,20 +331,21 @@
 }
 
 // encodeConfiguration returns a configuration as the operator sends it. CallerTimeout
-// depends on the version.
+// depends on the version. The pool of the other route has the weight 0: it gets nothing, even
+// while the route's own pool is evacuated.
 func encodeConfiguration(version uint64, withExtraRoute bool) string {
-	route := func(name string, address netip.AddrPort, retryPolicy planner.RetryPolicy, pool string) planner.Route {
+	route := func(name string, address netip.AddrPort, retryPolicy planner.RetryPolicy, pool, other string) planner.Route {
 		return planner.Route{
 			Name: name, Address: address, RetryPolicy: retryPolicy, CallerTimeout: 2*time.Second + time.Duration(version%500)*time.Millisecond,
-			LatencyObjective: 200 * time.Millisecond, WeightedPools: []planner.WeightedPool{{Pool: pool, Weight: 1}},
+			LatencyObjective: 200 * time.Millisecond, WeightedPools: []planner.WeightedPool{{Pool: other}, {Pool: pool, Weight: 1}},
 		}
 	}
 	ruleset := planner.Ruleset{
 		Version: version, IdleTimeout: 15 * time.Second, Pools: []planner.Pool{{Name: menuPool, HealthPath: "/h", SlowStart: slowStartTime, SlowStartRate: slowStartRate}, {Name: packPool, HealthPath: "/h"}},
-		Routes: []planner.Route{route("menu", menuAddress, planner.Idempotent, menuPool), route("pack", packAddress, planner.Transfer, packPool)},
+		Routes: []planner.Route{route("menu", menuAddress, planner.Idempotent, menuPool, packPool), route("pack", packAddress, planner.Transfer, packPool, menuPool)},
 	}
 	if withExtraRoute {
-		ruleset.Routes = append(ruleset.Routes, route("extra", extraAddress, planner.Once, menuPool))
+		ruleset.Routes = append(ruleset.Routes, route("extra", extraAddress, planner.Once, menuPool, packPool))
 	}
 	document, err := platform.EncodeConfiguration(ruleset)
 	if err != nil {
--- a/steerer/evacuation_test.go
+++ b/steerer/evacuation_test.go
@@ -135,3 +135,51 @@
 		is.Equal(s.Decide(now, synPacket(n, menu, 0)).Target.Identity, uint64(2))
 	}
 }
+
+// New flows must not go to a pool with the weight 0, whatever its place in the route and however few
+// other pools are left (incident 10): they are refused, with the reason.
+func TestPoolWithoutWeightGetsNoFlows(t *testing.T) {
+	live, next := Share{Pool: "live", Weight: 100}, Share{Pool: "next"}
+	inForce := []Target{target(1, "live", evacuated), target(2, "live", evacuated), target(3, "next"), target(4, "next")}
+	for _, tt := range []struct {
+		name    string
+		shares  []Share
+		targets []Target
+		reason  Reason
+	}{
+		{"weight 0 first", []Share{next, live}, inForce, Evacuated},
+		{"weight 0 last", []Share{live, next}, inForce, Evacuated},
+		{"weight 0 on both sides", []Share{next, live, next}, inForce, Evacuated},
+		{"no evacuation and no target", []Share{next, live}, []Target{target(3, "next")}, NoTarget},
+		// Validate refuses such routes; a view is built of whatever is stored.
+		{"weight 0 only", []Share{next}, inForce, NoTarget},
+		{"weights 0 only", []Share{next, {Pool: "live"}}, []Target{target(1, "live"), target(3, "next")}, NoTarget},
+		{"no pools", nil, inForce, NoTarget},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			routes := []Route{{Name: "r", Address: menu, Timeout: time.Second, Shares: tt.shares}}
+			s := newSteerer(NewView(1, "dc1", routes, tt.targets).WithSynced(true))
+			for n := range 20 {
+				got := s.Decide(0, synPacket(n, menu, 0))
+				is.Equal(got.Action, Reset)
+				is.Equal(got.Reason, tt.reason)
+			}
+		})
+	}
+}
+
+// The weights of a route must not add up over the views that are built of it, since a draw above
+// their sum belongs to no pool (incident 10).
+func TestViewsOfTheSameRoutesKeepItsWeights(t *testing.T) {
+	is := is.New(t)
+	routes := []Route{{Name: "r", Address: menu, Timeout: time.Second, Shares: []Share{{Pool: "next"}, {Pool: "live", Weight: 1}, {Pool: "old", Weight: 1}}}}
+	targets := []Target{target(1, "live"), target(2, "old"), target(3, "next")}
+	NewView(1, "dc1", routes, targets)
+	s := newSteerer(NewView(2, "dc1", routes, targets).WithSynced(true))
+	for n := range 50 {
+		got := s.Decide(time.Duration(n)*time.Second, synPacket(n, menu, 0))
+		is.Equal(got.Action, Forward)
+		is.True(got.Target.Pool != "next")
+	}
+}
--- a/steerer/target_selection.go
+++ b/steerer/target_selection.go
@@ -27,10 +27,13 @@
 // of a flow within the duration of a request. Targets whose responses are slow, short or
 // missing have a higher cost, see passiveHealth; they still get an occasional flow, which
 // shows when they have recovered. If no target is left without the ejected ones, those
-// are considered too. selectTarget returns nil if no target accepts the flow, and then how many
+// are considered too. Pools that get no new flows of the route never are. selectTarget returns nil if no target accepts the flow, and then how many
 // targets will accept it because their slow start only lets it wait.
 func (s *Steerer) selectTarget(now time.Duration, r *Route) (st *targetState, leftOut int) {
-	name := s.pickPool(r)
+	name, ok := s.pickPool(r)
+	if !ok {
+		return nil, 0
+	}
 	if leftOut = s.exhaustedAt(now, name); leftOut > 0 {
 		return nil, leftOut
 	}
@@ -46,23 +49,26 @@
 	return st, leftOut
 }
 
-// pickPool draws the pool of a new flow at random by the weights of the route, without the pools
-// that are evacuated as a whole unless there are no others.
-func (s *Steerer) pickPool(r *Route) string {
-	if len(r.Shares) == 1 || r.totalWeight == 0 {
-		return r.Shares[0].Pool
+// pickPool draws the pool of a new flow at random by the weights of the route. It returns false if
+// none of its pools gets new flows.
+func (s *Steerer) pickPool(r *Route) (name string, ok bool) {
+	if r.totalWeight == 0 {
+		return "", false
+	}
+	n := 0
+	if len(r.Shares) > 1 {
+		n = s.random.IntN(r.totalWeight)
 	}
-	n := s.random.IntN(r.totalWeight)
 	for _, share := range r.Shares {
-		if s.view.poolEvacuated(share.Pool) {
+		if !s.view.getsNewFlows(share) {
 			continue
 		}
 		n -= share.Weight
 		if n < 0 {
-			return share.Pool
+			return share.Pool, true
 		}
 	}
-	return r.Shares[0].Pool
+	return "", false
 }
 
 // leastCost returns the target of the pool with the lowest cost, and one of them at
--- a/steerer/view.go
+++ b/steerer/view.go
@@ -24,7 +24,7 @@
 	Objective   time.Duration // latency within which callers want a response, 0 if none is known
 	Priority    int           // 0 is the highest
 	Shares      []Share
-	totalWeight int // sum of the weights of Shares, without those of evacuated pools
+	totalWeight int // sum of the weights of Shares that get new flows
 	terms       *admitter.Terms
 }
 
@@ -149,19 +149,26 @@
 		}
 	}
 	for i := range routes {
-		v.addWeights(&routes[i])
+		routes[i].totalWeight = v.totalWeight(routes[i].Shares)
 	}
 	return v
 }
 
-// addWeights sets the total weight of a route. A pool that is evacuated as a whole leaves its share
-// of the new flows to the other pools of the route.
-func (v *View) addWeights(r *Route) {
-	for _, s := range r.Shares {
-		if !v.poolEvacuated(s.Pool) {
-			r.totalWeight += s.Weight
+// getsNewFlows reports whether the pool of a share gets new flows of its route. A pool with the weight
+// 0 never does. One that is evacuated as a whole leaves its share to the other pools of the route.
+func (v *View) getsNewFlows(s Share) bool {
+	return s.Weight > 0 && !v.poolEvacuated(s.Pool)
+}
+
+// totalWeight returns the sum of the weights of the shares that get new flows.
+func (v *View) totalWeight(shares []Share) int {
+	total := 0
+	for _, s := range shares {
+		if v.getsNewFlows(s) {
+			total += s.Weight
 		}
 	}
+	return total
 }
 
 // poolEvacuated reports whether all targets of a pool that would accept new flows are evacuated.
