platform, operator: refuse bodies that are no JSON text

Cause: encoding/json replaces invalid UTF-8 without an error, so the member had another name, and unknown ones are ignored. The same decoder takes the last of two members with one name, and names that differ in case. Bodies are now decoded by the second version of that library (go-json-experiment/json), which refuses what is no text and any name that stands twice, and compares names exactly.

On related paths: heartbeats, the announcements of serve (where more behind the end of the body was ignored too), almondpick check.

What earlier versions accepted stays: stored rulesets are checked as before, the document is read back as it was sent, and the operator who sends the same bytes again gets the acknowledgement, with a warning in the log. The instance compares with what it has applied and waits for nobody.

Failed before: TestBodyWithADamagedByteIsRefused (307 bytes of the two examples could be damaged unnoticed), TestAmbiguousBodyIsRefused, TestNamesOfMembersAreExact, TestDocumentThatWasAcceptedIsAcknowledgedAgain, TestAnnouncementThatIsNoTextIsRefused.

--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -74,7 +74,8 @@
 
 // Guards against a place that is missing where the text is no JSON, or a field has another type.
 func TestUnreadableDocuments(t *testing.T) {
-	for _, text := range []string{"{\"version\": 1,\n\"routes\": [}", "{\"version\":\n\"1\"}", "{}\n]", "{\n\"version\": 1"} {
+	for _, text := range []string{"{\"version\": 1,\n\"routes\": [}", "{\"version\":\n\"1\"}", "{}\n]", "{\n\"version\": 1",
+		"{\n\"rou\xf2es\": []}", "{\"version\": 1,\n\"version\": 2}"} {
 		r := checker.Check(platform.CheckDocument([]byte(text)))
 		if len(r.Findings) != 1 || r.Findings[0].Code != checker.Unreadable || r.Findings[0].Line != 2 {
 			t.Errorf("%q: %v", text, r.Findings)
@@ -89,6 +90,7 @@
 type door struct{ platform.ControlPlane }
 
 func (door) ReplaceRuleset(_ context.Context, r planner.Ruleset) error { return r.Validate() }
+func (door) HoldsDocument(context.Context, []byte) bool                { return false }
 func (door) ConfigurationRefused()                                     {}
 func (door) Now() time.Time                                            { return time.Time{} }
 
--- a/checker/field_index.go
+++ b/checker/field_index.go
@@ -11,12 +11,11 @@
 // pathSeparator separates the names and the array indexes in the path of a JSON field.
 const pathSeparator = "/"
 
-// fieldIndex finds the fields of a JSON document by their paths. Like encoding/json it ignores
-// case in names, and takes the last of several fields with the same name.
+// fieldIndex finds the fields of a JSON document by their paths.
 type fieldIndex struct {
 	text       []byte
 	lineStarts []int64          // offset of the first byte of each line
-	offsets    map[string]int64 // offset of the value of each field, by its path in lower case
+	offsets    map[string]int64 // offset of the value of each field, by its path
 }
 
 // newFieldIndex returns the index of a text. Without isJSON it knows lines only.
@@ -54,7 +53,7 @@
 				return false
 			}
 			text, _ := name.(string) // the names of an object are strings
-			if !x.add(decoder, path+strings.ToLower(text)) {
+			if !x.add(decoder, path+text) {
 				return false
 			}
 		}
@@ -83,7 +82,7 @@
 // there is none it returns the first path and the offset of the object that lacks it.
 func (x *fieldIndex) find(paths []string) (string, int64) {
 	for _, path := range paths {
-		if offset, ok := x.offsets[strings.ToLower(path)]; ok {
+		if offset, ok := x.offsets[path]; ok {
 			return path, offset
 		}
 	}
@@ -93,7 +92,6 @@
 // offset returns the offset of the value at a path, or of the innermost object or array around it
 // that is in the document.
 func (x *fieldIndex) offset(path string) int64 {
-	path = strings.ToLower(path)
 	for {
 		if offset, ok := x.offsets[path]; ok || path == "" {
 			return offset
--- a/controller/read.go
+++ b/controller/read.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"bytes"
 	"context"
 	"math"
 	"time"
@@ -51,6 +52,17 @@
 	return rules, nil
 }
 
+// HoldsDocument reports whether the configuration that this instance has applied was decoded from an
+// operator's document, byte by byte. Unlike Ruleset it waits for no other instance.
+func (c *Controller) HoldsDocument(ctx context.Context, document []byte) bool {
+	holds := false
+	applied := c.runInLoop(ctx, func() {
+		r := c.stateMachine.Config().Ruleset
+		holds = r != nil && !r.SourceOmitted && bytes.Equal(r.Source, document)
+	})
+	return applied && holds
+}
+
 // awaitNewestLog waits until this instance has applied everything that was committed before the
 // call began. The error is an *UnconfirmedReadError or a *ClosedError.
 func (c *Controller) awaitNewestLog(ctx context.Context) error {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
@@ -13,6 +12,9 @@
 	"net/http/pprof"
 	"slices"
 
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	jsonv1 "github.com/go-json-experiment/json/v1"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -182,9 +184,8 @@
 // other failure with status 503.
 func (s *Service) announce(w http.ResponseWriter, r *http.Request) {
 	var announcement announcer.Announcement
-	decoder := json.NewDecoder(io.LimitReader(r.Body, maxAnnouncementSize))
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&announcement)
+	body := io.LimitReader(r.Body, maxAnnouncementSize)
+	err := json.UnmarshalRead(body, &announcement, json.RejectUnknownMembers(true), jsonv1.FormatDurationAsNano(true))
 	if err != nil {
 		var fieldError *announcer.FieldError
 		if !errors.As(err, &fieldError) {
@@ -206,6 +207,6 @@
 	w.WriteHeader(status)
 	if fieldError != nil {
 		// An error here means that the target closed the connection; it announces itself again.
-		_ = json.NewEncoder(w).Encode(fieldError)
+		_ = json.MarshalWrite(w, fieldError, jsontext.AllowInvalidUTF8(true))
 	}
 }
