--- a/checker/checker.go
+++ b/checker/checker.go
@@ -119,9 +119,9 @@
 
 // addViolations reports what the operator door refuses although it can be decoded.
 func (c *check) addViolations() {
+	poolsMissing := c.hasInvalidPath(planner.RulesetLocation(planner.FieldPools))
 	for v := range c.document.Ruleset.Violations() {
-		paths := c.document.Paths(v.Location)
-		if slices.ContainsFunc(paths, func(path string) bool { return c.invalidPaths[path] }) {
+		if c.hasInvalidPath(v.Location) || v.Location.Field == planner.FieldSharePool && poolsMissing {
 			continue
 		}
 		code, ok := violationCodes[v.Location.Field]
@@ -137,6 +137,11 @@
 	}
 }
 
+// hasInvalidPath reports whether one of the fields that may hold a field of the ruleset has an error.
+func (c *check) hasInvalidPath(l planner.Location) bool {
+	return slices.ContainsFunc(c.document.Paths(l), func(path string) bool { return c.invalidPaths[path] })
+}
+
 // addWarning reports a field with no effect or in contradiction to another, unless it has an error.
 func (c *check) addWarning(at planner.Location, code Code, text string) {
 	if path, _ := c.index.find(c.document.Paths(at)); !c.invalidPaths[path] {
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -86,6 +86,24 @@
 	}
 }
 
+// Guards against a missing member that is not reported, or that every field which refers to it
+// reports once more.
+func TestMissingMembersAreReportedOnce(t *testing.T) {
+	const route = `{"name":"r","host":"198.18.0.1","pathPrefix":"/80/","type":"safe","timeoutMs":3000,"service":"a"}`
+	for text, want := range map[string][]string{
+		`{"version":1,"services":[{"name":"a","maxConns":20}],"limits":{}}`: {"error bad-field routes"},
+		`{"version":1,"routes":[` + route + `],"limits":{}}`:                {"error bad-field services"},
+		`{"routes":[` + route + `]}`:                                        {"error bad-field version", "error bad-field services", "error bad-field limits"},
+	} {
+		is := is.New(t)
+		var got []string
+		for _, f := range checker.Check(platform.CheckDocument([]byte(text))).Findings {
+			got = append(got, fmt.Sprint(f.Severity, " ", f.Code, " ", f.Field))
+		}
+		is.Equal(got, want)
+	}
+}
+
 // door is a control plane that checks a ruleset as a storage instance does.
 type door struct{ platform.ControlPlane }
 
--- a/checker/warnings.go
+++ b/checker/warnings.go
@@ -65,7 +65,7 @@
 // checkPool reports a service that gets no flows, and a limit of connections that is too low.
 func (c *check) checkPool(pool int, used map[string]bool) {
 	p := &c.document.Ruleset.Pools[pool]
-	if !used[p.Name] {
+	if !used[p.Name] && !c.hasInvalidPath(planner.RulesetLocation(planner.FieldRoutes)) {
 		c.addWarning(planner.PoolLocation(planner.FieldPoolName, pool), UnusedService, "no route sends flows to the service")
 	}
 	if p.MaxConnections < minSlots {
--- a/planner/violation.go
+++ b/planner/violation.go
@@ -10,6 +10,8 @@
 const (
 	FieldVersion       = "version"
 	FieldRoutes        = "routes"
+	FieldPools         = "pools"
+	FieldLimits        = "limits"
 	FieldSource        = "source"
 	FieldIdleTimeout   = "idle"
 	FieldPoolName      = "pools.name"
