diverter: a request that ends during a retry is noticed

Cause: a retry takes all held packets out of the queue, decides about each and puts it back if it is still held. A request that ended between the decision and the return found the queue empty, so it woke nobody, and the mark that something had become free was gone. The SYN waited for the next tick, up to 10 ms later; the clock of the test has none. The packet now returns to the queue in the critical section that decides about it, so no other packet is decided about in between.

--- a/diverter/diverter.go
+++ b/diverter/diverter.go
@@ -233,8 +233,7 @@
 
 // handlePacket decides about the packet that begins after the headroom of b and applies the
 // decision. held is the packet's entry in the queue, nil for a packet that has just been
-// received. Only the latter is added to the queue if the decision is Hold; the caller
-// requeues the others.
+// received. If the decision is Hold, the packet is in the queue afterwards.
 func (l *Listener) handlePacket(now time.Duration, b []byte, held *heldPacket) steerer.Decision {
 	headroom := l.codec.Headroom()
 	p, err := l.codec.Decode(b[headroom:])
@@ -246,7 +245,7 @@
 	if held != nil {
 		p.HeldFor, p.ReceivedBefore = max(now-held.sentAt, 1), now-held.receivedAt
 	}
-	decision, configVersion := l.decide(now, p, b, held == nil)
+	decision, configVersion := l.decide(now, p, b, held)
 	if held != nil && decision.Action == steerer.Hold {
 		return decision
 	}
@@ -262,13 +261,18 @@
 }
 
 // decide returns the steerer's decision about a packet and the version of the configuration that
-// it rests on. A packet that has just been received is added to the queue if it is held, and
-// has the others decided about again if it ends a request.
-func (l *Listener) decide(now time.Duration, p steerer.Packet, b []byte, justReceived bool) (steerer.Decision, uint64) {
+// it rests on. A packet that is held is in the queue before another one is decided about, which may
+// end the request that it waits for. A packet that has just been received has the held ones decided
+// about again if it ends a request.
+func (l *Listener) decide(now time.Duration, p steerer.Packet, b []byte, held *heldPacket) (steerer.Decision, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	decision := l.steerer.Decide(now, p)
-	if !justReceived {
+	if held != nil {
+		if decision.Action == steerer.Hold {
+			held.decidedAt = now
+			l.queue.requeue(*held)
+		}
 		return decision, l.configVersion
 	}
 	if l.steerer.TakeFreed() && len(l.queue.packets) > 0 {
--- a/diverter/retry.go
+++ b/diverter/retry.go
@@ -67,14 +67,9 @@
 			continue
 		}
 		decision := l.handlePacket(now, held.packet, &held)
-		if decision.Action != steerer.Hold {
-			continue
-		}
-		if decision.Load != "" || decision.Reason == steerer.SlowStart {
+		if decision.Action == steerer.Hold && (decision.Load != "" || decision.Reason == steerer.SlowStart) {
 			busy[held.route] = true
 		}
-		held.decidedAt = now
-		l.requeue(held)
 	}
 }
 
