steerer, server: flows keep no earlier routes in memory

Cause: each change of a member, a target or the version made a view with routes of its own, in one slice, and an open flow pointed into the slice of the view in which it was placed. The memory was the number of routes times the number of views of the last seconds.

A flow now holds the terms and the class of its route. Routes are allocated one by one in a RouteTable; tables that follow each other share the routes that have not changed, and views of one ruleset share the whole table. The sum of the weights, which depends on evacuations, is added up when a pool is drawn. Of former pools only those are recorded that a route has left.

--- a/meter/steering.go
+++ b/meter/steering.go
@@ -55,8 +55,8 @@
 
 // ObserveFlowEnd records the duration of a flow whose target this instance selected. The
 // class of the route is recorded as the tenant, and the name of the route as the class.
-func (s *SteeringMetrics) ObserveFlowEnd(route *steerer.Route, duration time.Duration) {
-	s.meter.ObserveFlow(route.Class, route.Name, duration)
+func (s *SteeringMetrics) ObserveFlowEnd(class, route string, duration time.Duration) {
+	s.meter.ObserveFlow(class, route, duration)
 }
 
 // Released records how long a packet was held. The labels are those of ObserveFlowEnd; they are
--- a/server/node.go
+++ b/server/node.go
@@ -61,6 +61,7 @@
 	httpServers       []*http.Server
 	serverLoops       sync.WaitGroup
 	clusterState      atomic.Pointer[controller.ClusterState]
+	views             viewBuilder // used by the control loop only
 	stopping          atomic.Bool
 	controllerOptions []controller.Option
 }
@@ -276,7 +277,7 @@
 func (n *Node) applyClusterState(cluster controller.ClusterState) {
 	n.clusterState.Store(&cluster)
 	if n.diverter != nil {
-		n.diverter.SetView(newSteererView(cluster))
+		n.diverter.SetView(n.views.view(cluster))
 	}
 }
 
--- a/server/steerer_view_bench_test.go
+++ b/server/steerer_view_bench_test.go
@@ -28,9 +28,9 @@
 			Job:      "pool-a", Slots: 2, Identity: uint64(n + 1), Incarnation: uint64(1000 + n),
 		}})
 	}
-	s := steerer.New()
+	s, views := steerer.New(), viewBuilder{}
 	b.ReportAllocs()
 	for b.Loop() {
-		s.SetView(newSteererView(cluster))
+		s.SetView(views.view(cluster))
 	}
 }
--- a/server/steerer_view_test.go
+++ b/server/steerer_view_test.go
@@ -14,6 +14,11 @@
 	"almondpick/warmer"
 )
 
+// newSteererView returns the first view that an instance builds.
+func newSteererView(cluster controller.ClusterState) *steerer.View {
+	return new(viewBuilder).view(cluster)
+}
+
 // The identities of two targets may end in the same label. A target whose job was never named has
 // no flows, and must not take the label of one that may have some.
 func TestTargetOfAnUnnamedJobTakesNoLabel(t *testing.T) {
--- a/steerer/flow_table.go
+++ b/steerer/flow_table.go
@@ -1,6 +1,10 @@
 package steerer
 
-import "time"
+import (
+	"time"
+
+	"almondpick/admitter"
+)
 
 // Timeouts of the flow table.
 const (
@@ -16,8 +20,9 @@
 // came through this instance.
 type flowState struct {
 	targetState   *targetState
-	route         *Route
-	pool          string // as admission counted the request in progress, or the last one
+	terms         *admitter.Terms // of the route; the route itself would keep more in memory
+	class         string          // of the route
+	pool          string          // as admission counted the request in progress, or the last one
 	steerer       *Steerer
 	placedAt      time.Duration // when the target was selected
 	countsAsLoad  bool          // included in the active flows of its target
@@ -42,7 +47,7 @@
 // it restarted. Its requests are load of the target like those of other flows.
 func (s *Steerer) adoptFlow(now time.Duration, p Packet, route *Route, target *Target) *flowState {
 	f := &flowState{
-		targetState: s.targetStates[target.Identity], route: route, steerer: s, placedAt: now, lastPacketAt: now,
+		targetState: s.targetStates[target.Identity], terms: route.Terms(), class: route.Class, steerer: s, placedAt: now, lastPacketAt: now,
 		established: true, lastAck: p.Ack, initialAck: p.Ack, adopted: true,
 	}
 	s.flows[p.Flow] = f
@@ -57,7 +62,7 @@
 	if !f.established {
 		f.established = true
 		f.lastAck, f.initialAck = p.Ack, p.Ack
-		f.loadExpiresAt, f.progressExpiresAt = now+f.route.Timeout, now+f.route.Terms().ProgressTimeout()
+		f.loadExpiresAt, f.progressExpiresAt = now+f.terms.Timeout, now+f.terms.ProgressTimeout()
 		f.setCountsAsLoad(now, true)
 		s.recordEstablished(now, f)
 	}
@@ -86,9 +91,9 @@
 	} else {
 		latency := f.latency(now)
 		s.observeLatency(now, f, latency)
-		s.admitter.Observe(now, f.targetState.target.admissionPool(), f.route.Terms(), latency)
+		s.admitter.Observe(now, f.targetState.target.admissionPool(), f.terms, latency)
 	}
-	s.admitter.ObserveBytes(f.route.Terms(), int(f.requestEnd-f.requestStart))
+	s.admitter.ObserveBytes(f.terms, int(f.requestEnd-f.requestStart))
 }
 
 // latency returns the time since the last request began, without the delay on this instance.
@@ -112,7 +117,7 @@
 		f.requestStart = p.Sequence
 	}
 	f.lastAck = p.Ack
-	f.loadExpiresAt, f.progressExpiresAt = now+f.route.Timeout, now+f.route.Terms().ProgressTimeout()
+	f.loadExpiresAt, f.progressExpiresAt = now+f.terms.Timeout, now+f.terms.ProgressTimeout()
 	f.setCountsAsLoad(now, true)
 }
 
@@ -126,7 +131,7 @@
 	if !f.responsePending || f.egress.at(now) == 0 { // otherwise the caller may have given up a request that was late here
 		s.recordResponseSize(now, f.targetState, p.Flow.Service, p.Ack-f.initialAck)
 	}
-	s.onFlowEnd(f.route, now-f.placedAt)
+	s.onFlowEnd(f.class, f.terms.Name, now-f.placedAt)
 }
 
 // setCountsAsLoad adds the flow to, or removes it from, the active flows of its target and the
@@ -152,10 +157,10 @@
 	f.inProgress = inProgress
 	if inProgress {
 		f.pool = f.targetState.target.admissionPool()
-		f.steerer.admitter.Begin(now, f.pool, f.route.Terms())
+		f.steerer.admitter.Begin(now, f.pool, f.terms)
 		return
 	}
-	f.steerer.admitter.End(now, f.pool, f.route.Terms())
+	f.steerer.admitter.End(now, f.pool, f.terms)
 	f.steerer.freed = true
 }
 
@@ -206,7 +211,7 @@
 // expireResponse records that a response has not begun before the caller gave up. If a part of
 // the request has not been sent to the target, that says nothing about the target.
 func (s *Steerer) expireResponse(now time.Duration, f *flowState) {
-	if !f.awaitsResponse() || now < f.requestAt+f.route.Timeout {
+	if !f.awaitsResponse() || now < f.requestAt+f.terms.Timeout {
 		return
 	}
 	f.responsePending = false
--- a/steerer/holding.go
+++ b/steerer/holding.go
@@ -6,17 +6,13 @@
 	"almondpick/admitter"
 )
 
-// request returns the packet as admission sees it. The route is nil, and the pool empty, if they
-// are not known.
-func (p *Packet) request(route *Route, pool string) admitter.Request {
-	r := admitter.Request{
-		Pool: pool, Waited: max(p.HeldFor, p.SentBefore), Asked: p.HeldFor > 0, CanRefuse: p.Flags&SYN != 0,
+// request returns the packet as admission sees it. The terms of the route are nil, and the pool empty,
+// if they are not known.
+func (p *Packet) request(route *admitter.Terms, pool string) admitter.Request {
+	return admitter.Request{
+		Pool: pool, Route: route, Waited: max(p.HeldFor, p.SentBefore), Asked: p.HeldFor > 0, CanRefuse: p.Flags&SYN != 0,
 		SinceReceived: p.ReceivedBefore, NextSYNAfter: p.NextSYNAfter,
 	}
-	if route != nil {
-		r.Route = route.Terms()
-	}
-	return r
 }
 
 // actions maps the decisions of admission to actions.
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -131,21 +131,20 @@
 	flows               map[Flow]*flowState
 	targetStates        map[uint64]*targetState   // by identity
 	dataCentreEjections map[string]*ejectionState // by name of the data centre; the local one has none
-	routePools          map[routePool]bool
+	formerPools         map[routePool]bool
 	admitter            *admitter.Admitter
 	freed               bool // a request has ended since the last call of TakeFreed
 	warmer              *warmer.Warmer
 	exhausted           map[string]exhaustedPool // by pool
 	baselines           baselines
 	nextExpiry          time.Duration
-	onFlowEnd           func(r *Route, lasted time.Duration)
+	onFlowEnd           func(class, route string, lasted time.Duration)
 	estimator           *estimator.Estimator // nil if targets are not estimated
 	estimatedAt         time.Duration        // when the estimates were last recomputed
 	estimateChanges     []EstimateChange     // since the last call of TakeEstimateChanges
 }
 
-// routePool is a service address and a pool to which its route sends, or used to send,
-// new flows.
+// routePool is a service address and a pool to which its route used to send new flows.
 type routePool struct {
 	address netip.AddrPort
 	pool    string
@@ -160,9 +159,9 @@
 }
 
 // WithFlowEndCallback sets a function that is called when a flow ends for which this
-// Steerer selected the target. The function gets the route of the flow and the time since
-// the selection.
-func WithFlowEndCallback(f func(r *Route, lasted time.Duration)) Option {
+// Steerer selected the target. The function gets the class and the name of the flow's route, and the
+// time since the selection.
+func WithFlowEndCallback(f func(class, route string, lasted time.Duration)) Option {
 	return func(s *Steerer) { s.onFlowEnd = f }
 }
 
@@ -186,12 +185,12 @@
 		flows:               make(map[Flow]*flowState),
 		targetStates:        make(map[uint64]*targetState),
 		dataCentreEjections: make(map[string]*ejectionState),
-		routePools:          make(map[routePool]bool),
+		formerPools:         make(map[routePool]bool),
 		admitter:            admitter.New(),
 		warmer:              warmer.New(""),
 		exhausted:           make(map[string]exhaustedPool),
 		baselines:           newBaselines(),
-		onFlowEnd:           func(*Route, time.Duration) {},
+		onFlowEnd:           func(string, string, time.Duration) {},
 	}
 	for _, o := range opts {
 		o(s)
@@ -208,6 +207,9 @@
 	if v.ConfigVersion < s.view.ConfigVersion {
 		return
 	}
+	if v.table != s.view.table {
+		s.recordFormerPools(v.table)
+	}
 	s.view = v
 	current := make(map[uint64]*targetState, len(v.targets))
 	for _, t := range v.targets {
@@ -221,9 +223,20 @@
 	s.targetStates = current
 	s.setEstimatedTargets()
 	s.updateForwarders()
-	for address, r := range v.routes {
+}
+
+// recordFormerPools records, before the next table comes into force, the pools to which its routes send
+// no new flows any more. The flows that are open there go on.
+func (s *Steerer) recordFormerPools(next *RouteTable) {
+	for address, r := range s.view.table.routes {
+		successor := next.routes[address]
+		if successor == r {
+			continue
+		}
 		for _, share := range r.Shares {
-			s.routePools[routePool{address, share.Pool}] = true
+			if successor == nil || !successor.usesPool(share.Pool) {
+				s.formerPools[routePool{address, share.Pool}] = true
+			}
 		}
 	}
 }
@@ -242,12 +255,12 @@
 
 // handleLabel decides about a packet of a flow that has been opened, by its label.
 func (s *Steerer) handleLabel(now time.Duration, p Packet) Decision {
-	route := s.view.routes[p.Flow.Service]
+	route := s.view.route(p.Flow.Service)
 	target := s.view.targetsByLabel[p.Label]
 	if target == nil {
 		return Decision{Action: s.holdUntilSynced(now, p, Drop), Reason: UnknownLabel, Route: route}
 	}
-	if route != nil && !route.usesPool(target.Pool) && !s.routePools[routePool{p.Flow.Service, target.Pool}] {
+	if route != nil && !route.usesPool(target.Pool) && !s.formerPools[routePool{p.Flow.Service, target.Pool}] {
 		return Decision{Action: Drop, Reason: LabelOfOtherPool, Route: route}
 	}
 	f := s.flows[p.Flow]
@@ -258,7 +271,7 @@
 		return Decision{Action: Forward, Reason: ByLabel, Target: target, Route: route}
 	}
 	if p.PayloadSize > 0 && !f.inProgress && !f.closed {
-		if v := s.admitter.Ask(now, p.request(f.route, target.admissionPool())); v.Decision != admitter.Admit {
+		if v := s.admitter.Ask(now, p.request(f.terms, target.admissionPool())); v.Decision != admitter.Admit {
 			return notAdmitted(v, target, route)
 		}
 	}
@@ -271,12 +284,12 @@
 // and the two ends of the flow would disagree on the label.
 func (s *Steerer) handleSYN(now time.Duration, p Packet) Decision {
 	if r := p.request(nil, ""); r.CallerSilent() {
-		return Decision{Action: Drop, Reason: CallerSilent, Route: s.view.routes[p.Flow.Service]}
+		return Decision{Action: Drop, Reason: CallerSilent, Route: s.view.route(p.Flow.Service)}
 	}
 	if s.view.ConfigVersion == 0 {
 		return Decision{Action: s.holdWhileUnknown(now, p), Reason: NotInitialized}
 	}
-	route := s.view.routes[p.Flow.Service]
+	route := s.view.route(p.Flow.Service)
 	if route == nil {
 		return Decision{Action: s.holdUntilSynced(now, p, Reset), Reason: NoRoute}
 	}
@@ -311,7 +324,7 @@
 // placeFlow selects a target for a flow. A new flow waits while its pool is busy; one that moves
 // away from a target that does not answer has waited before.
 func (s *Steerer) placeFlow(now time.Duration, p Packet, route *Route, reason Reason) Decision {
-	v := s.admitter.Ask(now, p.request(route, ""))
+	v := s.admitter.Ask(now, p.request(route.Terms(), ""))
 	if v.Decision != admitter.Wait {
 		return notAdmitted(v, nil, route)
 	}
@@ -322,13 +335,13 @@
 	if st == nil {
 		return s.withoutTarget(v, route)
 	}
-	request := p.request(route, st.target.Pool)
+	request := p.request(route.Terms(), st.target.Pool)
 	request.Moved = reason == RetransmissionMoved
 	if v := s.admitter.Ask(now, request); v.Decision != admitter.Admit {
 		return notAdmitted(v, nil, route)
 	}
 	f := &flowState{
-		targetState: st, route: route, steerer: s, placedAt: now, lastPacketAt: now,
+		targetState: st, terms: route.Terms(), class: route.Class, steerer: s, placedAt: now, lastPacketAt: now,
 		responsePending: true, loadExpiresAt: now + handshakeLoadTimeout, progressExpiresAt: now + handshakeLoadTimeout,
 	}
 	f.setCountsAsLoad(now, true)
--- a/steerer/target_estimates.go
+++ b/steerer/target_estimates.go
@@ -69,7 +69,7 @@
 		return
 	}
 	t := f.targetState.target
-	s.estimator.Observe(now, t.Pool, f.route.Terms().Name, t.estimateKey(), latency)
+	s.estimator.Observe(now, t.Pool, f.terms.Name, t.estimateKey(), latency)
 }
 
 // isEvidence reports whether the latency of the last request on a flow is evidence of the speed of
--- a/steerer/target_estimates_test.go
+++ b/steerer/target_estimates_test.go
@@ -147,7 +147,7 @@
 	is.Equal(len(s.TakeEstimateChanges()), 0)
 	selected := make(map[uint64]int)
 	for range 1000 {
-		st, _ := s.selectTarget(time.Second, s.view.routes[menu])
+		st, _ := s.selectTarget(time.Second, s.view.route(menu))
 		selected[st.target.Identity]++
 	}
 	t.Logf("estimate %.2f, selected %v", slow.Speed, selected)
@@ -233,7 +233,7 @@
 		b.Run(name, func(b *testing.B) {
 			s := New(opts...)
 			s.SetView(newTestView(120, 2))
-			route := s.view.routes[menu]
+			route := s.view.route(menu)
 			for b.Loop() {
 				s.selectTarget(time.Second, route)
 			}
--- a/steerer/target_selection.go
+++ b/steerer/target_selection.go
@@ -52,12 +52,13 @@
 // pickPool draws the pool of a new flow at random by the weights of the route. It returns false if
 // none of its pools gets new flows.
 func (s *Steerer) pickPool(r *Route) (name string, ok bool) {
-	if r.totalWeight == 0 {
+	total := s.view.totalWeight(r.Shares)
+	if total == 0 {
 		return "", false
 	}
 	n := 0
 	if len(r.Shares) > 1 {
-		n = s.random.IntN(r.totalWeight)
+		n = s.random.IntN(total)
 	}
 	for _, share := range r.Shares {
 		if !s.view.getsNewFlows(share) {
--- a/steerer/view.go
+++ b/steerer/view.go
@@ -5,56 +5,9 @@
 	"slices"
 	"time"
 
-	"almondpick/admitter"
 	"almondpick/warmer"
 )
 
-// Share is the weight of one pool among the pools of a route.
-type Share struct {
-	Pool   string
-	Weight int
-}
-
-// Route maps a service address to the pools that get its new flows.
-type Route struct {
-	Name        string
-	Class       string // class of the route's requests, for metrics
-	Address     netip.AddrPort
-	Timeout     time.Duration // time after which callers give up a request
-	Objective   time.Duration // latency within which callers want a response, 0 if none is known
-	Priority    int           // 0 is the highest
-	Shares      []Share
-	totalWeight int // sum of the weights of Shares that get new flows
-	terms       *admitter.Terms
-}
-
-// Terms returns what the route asks of its requests.
-func (r *Route) Terms() *admitter.Terms {
-	if r.terms != nil {
-		return r.terms
-	}
-	return r.newTerms()
-}
-
-// newTerms returns the terms of the route. A route without a name goes by its address.
-func (r *Route) newTerms() *admitter.Terms {
-	t := &admitter.Terms{Name: r.Name, Objective: r.Objective, Timeout: r.Timeout, Priority: r.Priority}
-	if t.Name == "" {
-		t.Name = r.Address.String()
-	}
-	return t
-}
-
-// usesPool reports whether the route sends new flows to the pool.
-func (r *Route) usesPool(pool string) bool {
-	for i := range r.Shares {
-		if r.Shares[i].Pool == pool {
-			return true
-		}
-	}
-	return false
-}
-
 // Target is the state of a target in a view.
 type Target struct {
 	Identity        uint64 // 0 is not valid
@@ -103,7 +56,7 @@
 	acceptingSlots      map[string]int // slots of the targets that accept new flows, by pool
 	evacuatedSlots      map[string]int // slots of the evacuated targets, by pool
 	admissionSlots      map[string]int // slots by admission pool, see Target.admissionPool
-	routes              map[netip.AddrPort]*Route
+	table               *RouteTable
 	pools               map[string][]*Target
 	targets             []*Target
 	targetsByLabel      map[Label]*Target
@@ -112,22 +65,17 @@
 // NewView returns a view that is not marked as synced. If two targets have the same
 // identity, the view contains the later incarnation only. If two targets have the same
 // label, the view contains only the one that may still have flows, because their packets
-// could not be told apart. NewView sorts targets and keeps references into both slices.
+// could not be told apart. NewView sorts targets and keeps references into that slice.
 func NewView(configVersion uint64, localDataCentre string, routes []Route, targets []Target) *View {
 	v := &View{
 		ConfigVersion: configVersion, LocalDataCentre: localDataCentre,
-		routes:         make(map[netip.AddrPort]*Route, len(routes)),
+		table:          NewRouteTable(routes),
 		pools:          make(map[string][]*Target),
 		acceptingSlots: make(map[string]int),
 		evacuatedSlots: make(map[string]int),
 		admissionSlots: make(map[string]int),
 		targetsByLabel: make(map[Label]*Target, len(targets)),
 	}
-	for i := range routes {
-		r := &routes[i]
-		r.terms = r.newTerms()
-		v.routes[r.Address] = r
-	}
 	slices.SortFunc(targets, func(a, b Target) int {
 		if a.Incarnation != b.Incarnation {
 			return int(int64(b.Incarnation) - int64(a.Incarnation))
@@ -148,9 +96,6 @@
 			v.admissionSlots[t.admissionPool()] += t.slotCount()
 		}
 	}
-	for i := range routes {
-		routes[i].totalWeight = v.totalWeight(routes[i].Shares)
-	}
 	return v
 }
 
@@ -210,6 +155,16 @@
 	v.pools[t.Pool] = slices.DeleteFunc(v.pools[t.Pool], matches)
 }
 
+// WithRouteTable returns a copy of the view with the routes of a table.
+func (v *View) WithRouteTable(t *RouteTable) *View {
+	clone := *v
+	clone.table = t
+	return &clone
+}
+
+// route returns the route with an address, or nil if there is none.
+func (v *View) route(address netip.AddrPort) *Route { return v.table.routes[address] }
+
 // WithSynced returns a copy of the view with Synced set to the argument.
 func (v *View) WithSynced(synced bool) *View {
 	clone := *v
