controller: the test of several orders waits before it reads

TestOrdersOfSeveralOperatorsAtOnce failed once beside load (KNOWN-RED). By reading: it took the state of instance 2 as expected right after that instance had passed on the last order, which may be acknowledged before it is applied there. The test now waits until the last order is in force at all three, which have applied all earlier ones then, and compares the same states as before. The failure was not seen again: 40 of 40 runs with the race detector beside four busy loops passed before the change, 10 of 10 after it.

--- a/controller/evacuation_test.go
+++ b/controller/evacuation_test.go
@@ -116,10 +116,10 @@
 	}
 	all.Wait()
 	is.Equal(failed.Load(), int64(0))
-	order(t, network.controllerAt(peerAddress(2)), "dc2", true) // reads all of the above first
+	order(t, network.controllerAt(peerAddress(2)), "dc2", true)
+	network.awaitEvacuation(t, "dc2", true, 0, 1, 2) // who has applied it has applied all of the above
 	want, err := network.controllerAt(peerAddress(2)).ClusterState(context.Background())
 	is.NoErr(err)
-	network.awaitEvacuation(t, "dc2", true, 0, 1, 2)
 	for n := range 2 {
 		got, err := network.controllerAt(peerAddress(n)).ClusterState(context.Background())
 		is.NoErr(err)
