steerer: comments of the pools that get new flows

Two comments that a newcomer would stumble on: a line too long, and a pool of a route that gets no new flows was said to get them. No code changes.

--- a/steerer/route_table.go
+++ b/steerer/route_table.go
@@ -70,7 +70,8 @@
 	return t
 }
 
-// usesPool reports whether the route sends new flows to the pool.
+// usesPool reports whether a pool is one of the route, whatever its weight. Flows that were opened there
+// go on.
 func (r *Route) usesPool(pool string) bool {
 	for i := range r.Shares {
 		if r.Shares[i].Pool == pool {
--- a/steerer/target_selection.go
+++ b/steerer/target_selection.go
@@ -27,8 +27,9 @@
 // of a flow within the duration of a request. Targets whose responses are slow, short or
 // missing have a higher cost, see passiveHealth; they still get an occasional flow, which
 // shows when they have recovered. If no target is left without the ejected ones, those
-// are considered too. Pools that get no new flows of the route never are. selectTarget returns nil if no target accepts the flow, and then how many
-// targets will accept it because their slow start only lets it wait.
+// are considered too. Pools that get no new flows of the route never are. selectTarget
+// returns nil if no target accepts the flow, and then how many targets will accept it because
+// their slow start only lets it wait.
 func (s *Steerer) selectTarget(now time.Duration, r *Route) (st *targetState, leftOut int) {
 	name, ok := s.pickPool(r)
 	if !ok {
